Lay out the library, its wire types and its message streams

The core's keys, verdicts, shapes, accounts and ledger commands, the messages between processes, and the framed h2 streams that carry them, so that each subsystem can be built against a fixed border.

--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,1 @@
+//! The agent beside each backend server.
--- /dev/null
+++ b/src/bin/hemlockcleat.rs
@@ -0,0 +1,3 @@
+//! The operator command.
+
+fn main() {}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,1 @@
+//! The operator command: a file a subcommand, each with `cli()` and `exec()`.
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,3 @@
+//! The control replica: sockets, files and timers round the consensus, the ledger and the planner.
+
+pub mod machine;
--- /dev/null
+++ b/src/core/consensus/mod.rs
@@ -0,0 +1,1 @@
+//! The replicated log, without input or output.
--- /dev/null
+++ b/src/core/lease/mod.rs
@@ -0,0 +1,1 @@
+//! Leases: one a worker, with fencing tokens.
--- /dev/null
+++ b/src/core/limit/mod.rs
@@ -0,0 +1,1 @@
+//! Admission, fair shares, shedding, retry budgets and the health of workers.
--- /dev/null
+++ b/src/ops/mod.rs
@@ -0,0 +1,1 @@
+//! The operations behind the subcommands.
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,1 @@
+//! A stand-in backend server for the demo and the tests.
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,1 @@
+//! The disk: log segments, snapshots and the identity of a data folder.
--- /dev/null
+++ b/src/telemetry/event/entry.rs
@@ -0,0 +1,6 @@
+//! Events of an entry.
+
+use crate::telemetry::event::Event;
+
+/// Every event of this range.
+pub const ALL: &[Event] = &[];
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,3 @@
+//! Logs, metrics and traces.
+
+pub mod event;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! The integration tests, one binary. A module a matter; `support` holds the small fakes.
+
+mod support;
+mod verdict;
+mod wire;
--- /dev/null
+++ b/tests/testsuite/support/mod.rs
@@ -0,0 +1,8 @@
+//! Fakes and helpers that several matters use.
+
+use std::future;
+
+/// Runs a test body on the runtime that the daemons use.
+pub fn run<T>(body: impl future::Future<Output = T>) -> T {
+    actix_rt::System::new().block_on(body)
+}
