Add the ledger and the steps of a gang

The ledger applies tickets, requests, workers, releases and ends in log order; the runner prepares a gang on every member, has its release committed, starts it, and frees its accelerators only once every member has stopped or has lost its lease.

Attempt numbers rise with each placement rather than with each release: a preparation that was dropped leaves a tombstone at its agent, and a second one under the same number would be refused for ever.

--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -28,11 +28,12 @@
 }
 
 macros::small! {
-    /// One try at running a job. Numbers start at 1 and rise by one with each release.
+    /// One try at running a job. Numbers rise with each placement and are never used twice, so
+    /// that what is late of one try can't be taken for another.
     pub struct AttemptKey {
         /// The job that is tried.
         pub job: JobKey,
-        /// Which try this is.
+        /// Which try this is; 1 or more.
         pub number: u32,
     }
 }
--- a/src/core/ledger/command.rs
+++ b/src/core/ledger/command.rs
@@ -49,7 +49,7 @@
         },
         /// A gang is prepared everywhere and may start.
         Release {
-            /// The attempt; its number is one above the job's last.
+            /// The attempt; its number is above that of the job's last.
             attempt: ids::AttemptKey,
             /// Its workers, in the order of their tasks.
             members: Vec<job::Member>,
--- /dev/null
+++ b/src/core/ledger/life.rs
@@ -0,0 +1,436 @@
+//! The life of a job: submitted, released, ended, cleared, queued again.
+
+use sha2::Digest as _;
+
+use crate::core::ids;
+use crate::core::ledger::calendar;
+use crate::core::ledger::command;
+use crate::core::ledger::job;
+use crate::core::ledger::outcome;
+use crate::core::ledger::state;
+use crate::core::ledger::table;
+use crate::core::shape;
+use crate::core::time;
+use crate::core::verdict;
+
+type Events = Vec<outcome::Event>;
+
+fn refused(reason: verdict::Reason, detail: impl Into<String>) -> outcome::Outcome {
+    outcome::Outcome::Refused(verdict::Refusal::not_run(reason, detail))
+}
+
+impl state::Ledger {
+    pub(super) fn submit(
+        &mut self,
+        index: ids::LogIndex,
+        spec: job::Spec,
+        events: &mut Events,
+    ) -> outcome::Outcome {
+        let digest = table::request_digest(&spec);
+        if let Some(key) = self.table.find(&spec.account, &spec.key) {
+            let same = self.table.jobs.get(&key).is_some_and(|job| job.digest == digest);
+            return match same {
+                true => outcome::Outcome::Job(key),
+                false => refused(verdict::Reason::KeyReused, spec.key),
+            };
+        }
+        if self.table.forgotten(&spec.account, &spec.key) {
+            let reason = verdict::Reason::KeyExpired;
+            return outcome::Outcome::Refused(verdict::Refusal::may_have_run(reason, spec.key));
+        }
+        if let Err(refusal) = self.admit(&spec) {
+            self.calendar.refuse(&spec.service, self.now, 1);
+            return outcome::Outcome::Refused(refusal);
+        }
+        let key = ids::JobKey(index.0);
+        self.calendar.promise(&spec.service, spec.deadline);
+        self.table.insert(key, self.new_job(spec, digest));
+        events.push(outcome::Event::Queued(key));
+        outcome::Outcome::Job(key)
+    }
+
+    fn admit(&self, spec: &job::Spec) -> Result<(), verdict::Refusal> {
+        let refuse = |reason, detail: &str| Err(verdict::Refusal::not_run(reason, detail));
+        let Some(account) = self.config.accounts.get(&spec.account) else {
+            return refuse(verdict::Reason::Unknown, &spec.account);
+        };
+        if self.config.kind(&spec.service, &spec.kind).is_none() {
+            let name = format!("{}/{}", spec.service, spec.kind);
+            return refuse(verdict::Reason::Unknown, &name);
+        }
+        if spec.deadline <= self.now {
+            return refuse(verdict::Reason::DeadlinePassed, "");
+        }
+        if self.table.waiting(&spec.account) >= account.queue_limit {
+            return refuse(verdict::Reason::Overloaded, "the account's queue is full");
+        }
+        if self.table.bytes >= table::ANSWER_BYTES {
+            return refuse(verdict::Reason::Overloaded, "no room for more answers");
+        }
+        Ok(())
+    }
+
+    fn new_job(&self, spec: job::Spec, digest: [u8; 32]) -> table::Job {
+        table::Job {
+            spec,
+            digest,
+            submitted: self.now,
+            phase: job::Phase::Queued,
+            attempt: 0,
+            releases: 0,
+            failures: 0,
+            touched: false,
+            cancelled: false,
+            stopping: false,
+            members: Vec::new(),
+            released: time::Wall(0),
+            answer: Vec::new(),
+            end: None,
+            ended: time::Wall(0),
+            mark: calendar::Mark::Open,
+        }
+    }
+
+    pub(super) fn cancel(
+        &mut self,
+        account: &str,
+        key: &str,
+        events: &mut Events,
+    ) -> outcome::Outcome {
+        let Some(key) = self.table.find(account, key) else {
+            return match self.table.forgotten(account, key) {
+                true => {
+                    let reason = verdict::Reason::KeyExpired;
+                    outcome::Outcome::Refused(verdict::Refusal::may_have_run(reason, key))
+                }
+                false => refused(verdict::Reason::Unknown, key),
+            };
+        };
+        let Some(job) = self.table.jobs.get_mut(&key) else { return outcome::Outcome::Stale };
+        match job.phase {
+            job::Phase::Queued => {
+                let refusal = untouched_refusal(job, verdict::Reason::Cancelled, "");
+                self.end_job(key, job::End::Refused(refusal), events);
+            }
+            job::Phase::Released if !job.cancelled => {
+                job.cancelled = true;
+                events.push(outcome::Event::Cancelling(job.last_attempt(key)));
+            }
+            _ => {}
+        }
+        outcome::Outcome::Job(key)
+    }
+
+    pub(super) fn release(
+        &mut self,
+        attempt: ids::AttemptKey,
+        members: Vec<job::Member>,
+        events: &mut Events,
+    ) -> outcome::Outcome {
+        if !self.may_release(attempt, &members) {
+            return outcome::Outcome::Stale;
+        }
+        let Some(job) = self.table.jobs.get_mut(&attempt.job) else {
+            return outcome::Outcome::Stale;
+        };
+        for member in &members {
+            self.roster.grant(member, job.spec.shape.accelerators);
+        }
+        job.phase = job::Phase::Released;
+        job.attempt = attempt.number;
+        job.releases += 1;
+        job.members = members;
+        job.released = self.now;
+        let account = job.spec.account.clone();
+        self.table.count_waiting(&account, -1);
+        events.push(outcome::Event::Released(attempt));
+        outcome::Outcome::Applied
+    }
+
+    fn may_release(&self, attempt: ids::AttemptKey, members: &[job::Member]) -> bool {
+        let Some(job) = self.table.jobs.get(&attempt.job) else { return false };
+        let Some(kind) = self.config.kind(&job.spec.service, &job.spec.kind) else { return false };
+        let next = job.phase == job::Phase::Queued && attempt.number > job.attempt;
+        let repeats = job.releases > 0 && !kind.repeatable;
+        next && !repeats && self.may_hold(&job.spec, members)
+    }
+
+    fn may_hold(&self, spec: &job::Spec, members: &[job::Member]) -> bool {
+        let tasks: u64 = members.iter().map(|member| u64::from(member.tasks)).sum();
+        if tasks != u64::from(spec.shape.tasks) {
+            return false;
+        }
+        let mut seen = std::collections::BTreeSet::new();
+        for member in members {
+            let Some(worker) = self.roster.get(member.worker) else { return false };
+            let open = self.roster.open(member.worker, &self.config);
+            let fits = worker.fits(member, &spec.service, spec.shape.accelerators);
+            if member.tasks == 0 || !open || !fits || !seen.insert(member.worker) {
+                return false;
+            }
+        }
+        self.adjacent(spec.shape.adjacency, members)
+    }
+
+    fn adjacent(&self, adjacency: shape::Adjacency, members: &[job::Member]) -> bool {
+        let mut places = members.iter().filter_map(|member| {
+            let spec = &self.roster.get(member.worker)?.spec;
+            Some((member.worker, spec.center.as_str(), spec.rack.as_str()))
+        });
+        let Some(first) = places.next() else { return false };
+        places.all(|place| match adjacency {
+            shape::Adjacency::Cell => true,
+            shape::Adjacency::DataCenter => place.1 == first.1,
+            shape::Adjacency::Rack => (place.1, place.2) == (first.1, first.2),
+            shape::Adjacency::Worker => place.0 == first.0,
+        })
+    }
+
+    pub(super) fn chunk(
+        &mut self,
+        attempt: ids::AttemptKey,
+        offset: u64,
+        bytes: &[u8],
+    ) -> outcome::Outcome {
+        let Some(job) = self.table.jobs.get_mut(&attempt.job) else {
+            return outcome::Outcome::Stale;
+        };
+        if !job.runs(attempt) {
+            return outcome::Outcome::Stale;
+        }
+        let length = job.answer.len() as u64;
+        if offset < length {
+            return outcome::Outcome::Applied;
+        }
+        if offset > length || length + bytes.len() as u64 > job::MAX_ANSWER {
+            return outcome::Outcome::Stale;
+        }
+        job.answer.extend_from_slice(bytes);
+        self.table.bytes += bytes.len() as u64;
+        outcome::Outcome::Applied
+    }
+
+    pub(super) fn attempt_end(
+        &mut self,
+        attempt: ids::AttemptKey,
+        result: command::AttemptResult,
+        events: &mut Events,
+    ) -> outcome::Outcome {
+        let key = attempt.job;
+        let Some(job) = self.table.jobs.get(&key) else { return outcome::Outcome::Stale };
+        if !job.runs(attempt) {
+            return outcome::Outcome::Stale;
+        }
+        match self.judge(job, result) {
+            Judgement::Done(meta) => {
+                self.free(key);
+                self.end_job(key, job::End::Done(meta), events);
+                events.push(outcome::Event::Cleared(attempt));
+            }
+            Judgement::End(refusal) => {
+                self.stop(attempt, events);
+                self.end_job(key, job::End::Refused(refusal), events);
+            }
+            Judgement::Again { failed, touched } => {
+                self.stop(attempt, events);
+                if let Some(job) = self.table.jobs.get_mut(&key) {
+                    job.failures += u32::from(failed);
+                    job.touched |= touched;
+                }
+            }
+        }
+        outcome::Outcome::Applied
+    }
+
+    fn stop(&mut self, attempt: ids::AttemptKey, events: &mut Events) {
+        self.table.drop_answer(attempt.job);
+        if let Some(job) = self.table.jobs.get_mut(&attempt.job) {
+            job.stopping = true;
+        }
+        events.push(outcome::Event::Stopping(attempt));
+    }
+
+    fn judge(&self, job: &table::Job, result: command::AttemptResult) -> Judgement {
+        let repeatable =
+            self.config.kind(&job.spec.service, &job.spec.kind).is_some_and(|kind| kind.repeatable);
+        let ended = match result {
+            command::AttemptResult::Done(meta) => match self.check_answer(job, &meta) {
+                Ok(()) => return Judgement::Done(meta),
+                Err(detail) => Ended::ran(verdict::Reason::BadAnswer, detail),
+            },
+            command::AttemptResult::Failed(detail) => Ended::ran(verdict::Reason::Failed, detail),
+            command::AttemptResult::Lost(detail) => Ended::lost(detail),
+            command::AttemptResult::Preempted => Ended::preempted(),
+            command::AttemptResult::NotStarted => Ended::not_started(),
+        };
+        let exhausted = ended.failed && job.failures + 1 >= job::MAX_ATTEMPTS;
+        if repeatable && !exhausted && !job.cancelled {
+            return Judgement::Again { failed: ended.failed, touched: ended.touched() };
+        }
+        Judgement::End(ended.refusal(job))
+    }
+
+    fn check_answer(&self, job: &table::Job, meta: &job::AnswerMeta) -> Result<(), String> {
+        let limit = self
+            .config
+            .kind(&job.spec.service, &job.spec.kind)
+            .map_or(job::MAX_ANSWER, |kind| kind.answer_limit);
+        if meta.length > limit {
+            return Err(format!("{} bytes exceed the kind's {limit}", meta.length));
+        }
+        if job.answer.len() as u64 != meta.length {
+            return Err(format!("{} of {} bytes came", job.answer.len(), meta.length));
+        }
+        let digest: [u8; 32] = sha2::Sha256::digest(&job.answer).into();
+        match digest == meta.sha256 {
+            true => Ok(()),
+            false => Err("the checksum does not match".to_owned()),
+        }
+    }
+
+    pub(super) fn clear(
+        &mut self,
+        attempt: ids::AttemptKey,
+        events: &mut Events,
+    ) -> outcome::Outcome {
+        let key = attempt.job;
+        let Some(job) = self.table.jobs.get(&key) else { return outcome::Outcome::Stale };
+        if !job.stopping || job.attempt != attempt.number {
+            return outcome::Outcome::Stale;
+        }
+        self.free(key);
+        events.push(outcome::Event::Cleared(attempt));
+        self.queue_again(key, events);
+        outcome::Outcome::Applied
+    }
+
+    fn queue_again(&mut self, key: ids::JobKey, events: &mut Events) {
+        let Some(job) = self.table.jobs.get_mut(&key) else { return };
+        if job.phase != job::Phase::Released {
+            return;
+        }
+        job.phase = job::Phase::Queued;
+        let account = job.spec.account.clone();
+        let cancelled = job.cancelled;
+        let refusal = untouched_refusal(job, verdict::Reason::Cancelled, "");
+        self.table.count_waiting(&account, 1);
+        if cancelled {
+            self.end_job(key, job::End::Refused(refusal), events);
+        } else {
+            events.push(outcome::Event::Queued(key));
+        }
+    }
+
+    fn free(&mut self, key: ids::JobKey) {
+        let Some(job) = self.table.jobs.get_mut(&key) else { return };
+        job.stopping = false;
+        for member in std::mem::take(&mut job.members) {
+            self.roster.free(&member, job.spec.shape.accelerators);
+        }
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        key: ids::JobKey,
+        refusal: verdict::Refusal,
+        events: &mut Events,
+    ) -> outcome::Outcome {
+        let Some(job) = self.table.jobs.get(&key) else { return outcome::Outcome::Stale };
+        if job.phase != job::Phase::Queued {
+            return outcome::Outcome::Stale;
+        }
+        let refusal = untouched_refusal(job, refusal.reason, &refusal.detail);
+        self.end_job(key, job::End::Refused(refusal), events);
+        outcome::Outcome::Applied
+    }
+
+    fn end_job(&mut self, key: ids::JobKey, end: job::End, events: &mut Events) {
+        let now = self.now;
+        let Some(job) = self.table.jobs.get_mut(&key) else { return };
+        let waited = job.phase == job::Phase::Queued;
+        let account = job.spec.account.clone();
+        let due = job.spec.deadline;
+        let mark = end_mark(&end, job.mark);
+        self.calendar.remark(&job.spec.service, due, job.mark, mark);
+        job.mark = mark;
+        job.phase = job::Phase::Ended;
+        job.end = Some(end);
+        job.ended = now;
+        if waited {
+            self.table.count_waiting(&account, -1);
+        }
+        self.table.dues.remove(&(due, key));
+        self.table.retire(key, now);
+        events.push(outcome::Event::Ended(key));
+    }
+}
+
+/// The count that an ended job belongs to. A deadline that has passed shows in the old count.
+fn end_mark(end: &job::End, before: calendar::Mark) -> calendar::Mark {
+    match end {
+        job::End::Done(_) if before == calendar::Mark::Late => calendar::Mark::Late,
+        job::End::Done(_) => calendar::Mark::Done,
+        job::End::Refused(refusal) => match refusal.verdict {
+            verdict::Verdict::NotRun => calendar::Mark::Refused,
+            verdict::Verdict::MayHaveRun | verdict::Verdict::Ran => calendar::Mark::Uncertain,
+        },
+    }
+}
+
+/// A refusal of a job that waits: not-run, unless an earlier attempt may have run.
+fn untouched_refusal(job: &table::Job, reason: verdict::Reason, detail: &str) -> verdict::Refusal {
+    match job.touched {
+        true => verdict::Refusal::may_have_run(reason, detail),
+        false => verdict::Refusal::not_run(reason, detail),
+    }
+}
+
+enum Judgement {
+    Done(job::AnswerMeta),
+    End(verdict::Refusal),
+    Again { failed: bool, touched: bool },
+}
+
+/// An end of an attempt without an answer.
+struct Ended {
+    verdict: verdict::Verdict,
+    reason: verdict::Reason,
+    detail: String,
+    failed: bool,
+}
+
+impl Ended {
+    fn ran(reason: verdict::Reason, detail: String) -> Self {
+        Self { verdict: verdict::Verdict::Ran, reason, detail, failed: true }
+    }
+
+    fn lost(detail: String) -> Self {
+        let verdict = verdict::Verdict::MayHaveRun;
+        Self { verdict, reason: verdict::Reason::WorkerLost, detail, failed: true }
+    }
+
+    fn preempted() -> Self {
+        let verdict = verdict::Verdict::MayHaveRun;
+        let detail = "stopped".to_owned();
+        Self { verdict, reason: verdict::Reason::WorkerLost, detail, failed: false }
+    }
+
+    fn not_started() -> Self {
+        let verdict = verdict::Verdict::NotRun;
+        let detail = "never started".to_owned();
+        Self { verdict, reason: verdict::Reason::WorkerLost, detail, failed: true }
+    }
+
+    fn touched(&self) -> bool {
+        self.verdict != verdict::Verdict::NotRun
+    }
+
+    fn refusal(self, job: &table::Job) -> verdict::Refusal {
+        let reason = if job.cancelled { verdict::Reason::Cancelled } else { self.reason };
+        let verdict = match self.verdict {
+            verdict::Verdict::NotRun if job.touched => verdict::Verdict::MayHaveRun,
+            verdict => verdict,
+        };
+        verdict::Refusal { verdict, reason, detail: self.detail }
+    }
+}
--- a/src/core/ledger/mod.rs
+++ b/src/core/ledger/mod.rs
@@ -1,9 +1,15 @@
 //! The ledger: the replicated state, changed only by [`command::Command`]s in log order.
 //!
-//! `ledger::Ledger::apply` is a pure function of the state and the command, so that every replica
+//! [`state::Ledger::apply`] is a pure function of the state and the command, so that every replica
 //! holds the same bytes. It answers each command with an [`outcome::Outcome`] for whoever proposed
 //! it and a list of [`outcome::Event`]s that tell the leader's planner and the entries what changed.
 
+pub mod book;
+pub mod calendar;
 pub mod command;
 pub mod job;
+mod life;
 pub mod outcome;
+pub mod roster;
+pub mod state;
+pub mod table;
--- a/src/core/ledger/outcome.rs
+++ b/src/core/ledger/outcome.rs
@@ -31,6 +31,8 @@
         Queued(ids::JobKey),
         /// A job's attempt is released.
         Released(ids::AttemptKey),
+        /// A running attempt's caller has cancelled it.
+        Cancelling(ids::AttemptKey),
         /// An attempt ended; its members still have to confirm their stop.
         Stopping(ids::AttemptKey),
         /// An attempt's accelerators are free.
@@ -78,7 +80,7 @@
         pub submitted: time::Wall,
         /// Where it stands.
         pub phase: job::Phase,
-        /// The number of its last attempt; 0 before the first.
+        /// How often it was released.
         pub attempts: u32,
         /// The workers of its last attempt.
         pub members: Vec<job::Member>,
--- /dev/null
+++ b/src/core/ledger/state.rs
@@ -0,0 +1,309 @@
+//! The replicated state and the dispatch of commands to the rules.
+
+use std::collections::BTreeMap;
+
+use crate::core::account;
+use crate::core::ids;
+use crate::core::ledger::book;
+use crate::core::ledger::calendar;
+use crate::core::ledger::command;
+use crate::core::ledger::job;
+use crate::core::ledger::outcome;
+use crate::core::ledger::roster;
+use crate::core::ledger::table;
+use crate::core::placement::feasible;
+use crate::core::time;
+use crate::core::verdict;
+
+/// How many entries' reports of refusals are remembered.
+const REPORTERS: usize = 1024;
+
+/// The state of the ledger.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ledger {
+    /// The time of the last entry; never runs backwards.
+    pub now: time::Wall,
+    /// The configuration in force.
+    pub config: account::Config,
+    /// The control replicas that the last ticket named; empty before the first.
+    pub replicas: Vec<(ids::ReplicaKey, String)>,
+    /// The tickets.
+    pub book: book::Book,
+    /// The workers.
+    pub roster: roster::Roster,
+    /// The jobs.
+    pub table: table::Table,
+    /// The hours.
+    pub calendar: calendar::Calendar,
+    /// The last report of refusals of each entry process, with the time it came.
+    pub reports: BTreeMap<u64, (u64, time::Wall)>,
+}
+
+impl Ledger {
+    /// Applies the entry at `index` and tells what changed.
+    pub fn apply(
+        &mut self,
+        index: ids::LogIndex,
+        entry: command::Entry,
+        events: &mut Vec<outcome::Event>,
+    ) -> outcome::Outcome {
+        self.advance(entry.at);
+        match entry.command {
+            command::Command::Clock => outcome::Outcome::Applied,
+            command::Command::Ticket(ticket) => self.ticket(&ticket, events),
+            command::Command::Submit(spec) => self.submit(index, spec, events),
+            command::Command::Cancel { account, key } => self.cancel(&account, &key, events),
+            command::Command::Worker { spec, incarnation, leaving } => {
+                let (key, epoch) = self.roster.announce(&spec, incarnation, leaving, events);
+                outcome::Outcome::Worker(key, epoch)
+            }
+            command::Command::WorkerLost { worker, epoch } => self.lose(worker, epoch, events),
+            command::Command::Release { attempt, members } => {
+                self.release(attempt, members, events)
+            }
+            command::Command::Chunk { attempt, offset, bytes } => {
+                self.chunk(attempt, offset, &bytes)
+            }
+            command::Command::AttemptEnd { attempt, result } => {
+                self.attempt_end(attempt, result, events)
+            }
+            command::Command::Clear { attempt } => self.clear(attempt, events),
+            command::Command::Refuse { job, refusal } => self.refuse(job, refusal, events),
+            command::Command::Refusals { entry, sequence, counts } => {
+                self.refusals(entry, sequence, &counts)
+            }
+        }
+    }
+
+    fn advance(&mut self, at: time::Wall) {
+        if at <= self.now {
+            return;
+        }
+        self.calendar.advance(self.now, at);
+        if at.hour() != self.now.hour() {
+            self.calendar.expire(at);
+        }
+        self.now = at;
+        self.mark_late();
+        self.table.expire(at);
+    }
+
+    fn mark_late(&mut self) {
+        while let Some((due, key)) = self.table.dues.first().copied() {
+            if due > self.now {
+                break;
+            }
+            self.table.dues.pop_first();
+            let Some(job) = self.table.jobs.get_mut(&key) else { continue };
+            if job.mark == calendar::Mark::Open {
+                job.mark = calendar::Mark::Late;
+                let service = &job.spec.service;
+                self.calendar.remark(service, due, calendar::Mark::Open, calendar::Mark::Late);
+            }
+        }
+    }
+
+    fn ticket(
+        &mut self,
+        ticket: &command::Ticket,
+        events: &mut Vec<outcome::Event>,
+    ) -> outcome::Outcome {
+        let next = match self.plan(ticket) {
+            Ok(Plan::Again(revision)) => return outcome::Outcome::Ticket(revision),
+            Ok(Plan::Next(config)) => config,
+            Err(refusal) => return outcome::Outcome::Refused(refusal),
+        };
+        for change in &ticket.changes {
+            match change {
+                command::Change::Service(service) => {
+                    self.calendar.create(&service.name, self.now);
+                }
+                command::Change::Replicas(replicas) => self.replicas = replicas.clone(),
+                _ => {}
+            }
+        }
+        let revision = next.revision;
+        self.config = *next;
+        self.book.record(ticket, revision, self.now);
+        events.push(outcome::Event::Config(revision));
+        for change in &ticket.changes {
+            if let command::Change::Worker { name, .. } = change
+                && let Some((key, _)) = self.roster.find(name)
+            {
+                events.push(outcome::Event::Worker(key));
+            }
+        }
+        outcome::Outcome::Ticket(revision)
+    }
+
+    /// What a ticket would do: the rules' answer without a change of state.
+    pub fn plan(&self, ticket: &command::Ticket) -> Result<Plan, verdict::Refusal> {
+        if let book::Ruling::Again(revision) = self.book.judge(ticket)? {
+            return Ok(Plan::Again(revision));
+        }
+        let mut next = self.config.clone();
+        next.revision = ids::Revision(next.revision.0 + 1);
+        for change in &ticket.changes {
+            check(change)?;
+            self.check_pending(change)?;
+            apply_change(&mut next, change);
+        }
+        let sets_accounts =
+            ticket.changes.iter().any(|change| matches!(change, command::Change::Account(_)));
+        if sets_accounts {
+            self.check_guarantees(&next)?;
+        }
+        Ok(Plan::Next(Box::new(next)))
+    }
+
+    /// Refuses to take away, or to change the promise of, what unfinished requests rely on.
+    fn check_pending(&self, change: &command::Change) -> Result<(), verdict::Refusal> {
+        let broken = match change {
+            command::Change::DropAccount(name) => self.pending().find(|spec| spec.account == *name),
+            command::Change::Service(service) => self.pending().find(|spec| {
+                let old = self.config.kind(&spec.service, &spec.kind);
+                let new = service.kinds.get(&spec.kind);
+                spec.service == service.name
+                    && old.map(|kind| kind.repeatable) != new.map(|kind| kind.repeatable)
+            }),
+            _ => None,
+        };
+        let Some(spec) = broken else { return Ok(()) };
+        let detail = format!(
+            "{}: request {} of {} has not ended and relies on the old state",
+            change.object(),
+            spec.key,
+            spec.account
+        );
+        Err(verdict::Refusal::not_run(verdict::Reason::BadRequest, detail))
+    }
+
+    fn pending(&self) -> impl Iterator<Item = &job::Spec> {
+        let jobs = self.table.jobs.values();
+        jobs.filter(|job| job.phase != job::Phase::Ended).map(|job| &job.spec)
+    }
+
+    fn check_guarantees(&self, config: &account::Config) -> Result<(), verdict::Refusal> {
+        let workers: Vec<&job::WorkerSpec> = self
+            .roster
+            .workers
+            .iter()
+            .filter(|(key, _)| self.roster.open(**key, config))
+            .map(|(_, worker)| &worker.spec)
+            .collect();
+        feasible::check(config, &workers).map_err(|shortfall| {
+            let reason = verdict::Reason::GuaranteeUnpackable;
+            verdict::Refusal::not_run(reason, shortfall.to_string())
+        })
+    }
+
+    fn lose(
+        &mut self,
+        worker: ids::WorkerKey,
+        epoch: ids::Epoch,
+        events: &mut Vec<outcome::Event>,
+    ) -> outcome::Outcome {
+        if !self.roster.lose(worker, epoch) {
+            return outcome::Outcome::Stale;
+        }
+        events.push(outcome::Event::WorkerLost(worker));
+        outcome::Outcome::Applied
+    }
+
+    fn refusals(
+        &mut self,
+        entry: u64,
+        sequence: u64,
+        counts: &[command::RefusalCount],
+    ) -> outcome::Outcome {
+        let last = self.reports.get(&entry).map_or(0, |(last, _)| *last);
+        if sequence <= last {
+            return outcome::Outcome::Applied;
+        }
+        self.reports.insert(entry, (sequence, self.now));
+        while self.reports.len() > REPORTERS {
+            let oldest = self.reports.iter().min_by_key(|(_, (_, at))| *at).map(|(key, _)| *key);
+            oldest.map(|key| self.reports.remove(&key));
+        }
+        for count in counts {
+            self.calendar.refuse(&count.service, count.hour, count.count);
+        }
+        outcome::Outcome::Applied
+    }
+
+    /// A job as callers and operators see it.
+    pub fn view(&self, key: ids::JobKey) -> Option<outcome::JobView> {
+        let job = self.table.jobs.get(&key)?;
+        Some(outcome::JobView {
+            job: key,
+            spec: job.spec.clone(),
+            submitted: job.submitted,
+            phase: job.phase,
+            attempts: job.releases,
+            members: job.members.clone(),
+            end: job.end.clone(),
+        })
+    }
+}
+
+/// What a ticket would do.
+pub enum Plan {
+    /// Nothing: it was accepted before, at this revision.
+    Again(ids::Revision),
+    /// Put this configuration in force.
+    Next(Box<account::Config>),
+}
+
+fn apply_change(config: &mut account::Config, change: &command::Change) {
+    match change {
+        command::Change::Account(account) => {
+            config.accounts.insert(account.name.clone(), account.clone());
+        }
+        command::Change::DropAccount(name) => {
+            config.accounts.remove(name);
+        }
+        command::Change::Service(service) => {
+            config.services.insert(service.name.clone(), service.clone());
+        }
+        command::Change::Worker { name, drain: true } => {
+            config.drained.insert(name.clone());
+        }
+        command::Change::Worker { name, drain: false } => {
+            config.drained.remove(name);
+        }
+        command::Change::Replicas(_) => {}
+    }
+}
+
+fn check(change: &command::Change) -> Result<(), verdict::Refusal> {
+    let object = change.object();
+    let refuse = |detail: String| {
+        Err(verdict::Refusal::not_run(verdict::Reason::BadRequest, format!("{object}: {detail}")))
+    };
+    match change {
+        command::Change::Account(account) => {
+            if account.name.is_empty() || account.name.len() > job::MAX_KEY {
+                return refuse(format!("name must have 1 to {} bytes", job::MAX_KEY));
+            }
+            if account.weight == 0 {
+                return refuse("weight must be 1 or more".to_owned());
+            }
+        }
+        command::Change::Service(service) => {
+            for kind in service.kinds.values() {
+                if kind.checkpoint.is_some() && !kind.repeatable {
+                    // A task resumed from a checkpoint is started again, which such work forbids.
+                    return refuse(format!("{} has a checkpoint but is not repeatable", kind.name));
+                }
+                if kind.deadline == time::Millis(0) {
+                    return refuse(format!("{} has no deadline", kind.name));
+                }
+            }
+        }
+        command::Change::Replicas(replicas) if replicas.is_empty() => {
+            return refuse("at least one replica must stay".to_owned());
+        }
+        _ => {}
+    }
+    Ok(())
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod account;
 pub mod consensus;
+pub mod gang;
 pub mod ids;
 pub mod lease;
 pub mod ledger;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,5 +5,7 @@
 
 pub mod agent;
 pub mod codec;
+pub mod command;
 pub mod common;
 pub mod entry;
+pub mod snapshot;
--- /dev/null
+++ b/src/wire/snapshot.rs
@@ -0,0 +1,318 @@
+//! The whole ledger as it lies in a snapshot. Indices are rebuilt when it is read.
+
+use crate::core::ids;
+use crate::core::ledger::book;
+use crate::core::ledger::calendar;
+use crate::core::ledger::job;
+use crate::core::ledger::outcome;
+use crate::core::ledger::roster;
+use crate::core::ledger::state;
+use crate::core::ledger::table;
+use crate::core::time;
+use crate::macros;
+use crate::wire::codec;
+use crate::wire::common;
+
+macros::plain! {
+    /// A [`state::Ledger`].
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Ledger {
+        /// The time of the last entry.
+        pub now: u64,
+        /// The configuration.
+        pub config: common::Config,
+        /// The control replicas.
+        pub replicas: Vec<(u64, String)>,
+        /// Tickets.
+        pub tickets: Vec<Ticket>,
+        /// Which ticket last set each object.
+        pub setters: Vec<(String, u64)>,
+        /// Workers.
+        pub workers: Vec<Worker>,
+        /// Jobs.
+        pub jobs: Vec<Job>,
+        /// Digests of keys no longer kept, with the end of their retention.
+        pub expired: Vec<([u8; 16], u64)>,
+        /// Services and when they were created.
+        pub services: Vec<(String, u64)>,
+        /// Hours.
+        pub hours: Vec<Hour>,
+        /// Reports of refusals: entry, sequence, time.
+        pub reports: Vec<(u64, u64, u64)>,
+    }
+
+    /// A [`book::Record`].
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Ticket {
+        /// Number.
+        pub number: u64,
+        /// Digest.
+        pub digest: [u8; 32],
+        /// Revision.
+        pub revision: u64,
+        /// When.
+        pub at: u64,
+        /// Objects.
+        pub objects: Vec<String>,
+    }
+
+    /// A [`roster::Worker`].
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Worker {
+        /// Key.
+        pub key: u32,
+        /// Announcement.
+        pub spec: common::WorkerSpec,
+        /// Run of the agent.
+        pub incarnation: u64,
+        /// Epoch.
+        pub epoch: u64,
+        /// Present.
+        pub present: bool,
+        /// Leaving.
+        pub leaving: bool,
+        /// Tasks granted.
+        pub tasks: u32,
+        /// Accelerators granted.
+        pub accelerators: u32,
+    }
+
+    /// A [`table::Job`].
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Job {
+        /// Key.
+        pub key: u64,
+        /// Request.
+        pub spec: common::Spec,
+        /// Digest of the request.
+        pub digest: [u8; 32],
+        /// Accepted.
+        pub submitted: u64,
+        /// Phase: 0 queued, 1 released, 2 ended.
+        pub phase: u8,
+        /// Number of the last attempt.
+        pub attempt: u32,
+        /// Releases.
+        pub releases: u32,
+        /// Failures.
+        pub failures: u32,
+        /// Flags: touched, cancelled, stopping.
+        pub flags: (bool, bool, bool),
+        /// Members.
+        pub members: Vec<common::Member>,
+        /// Released.
+        pub released: u64,
+        /// Answer.
+        pub answer: Vec<u8>,
+        /// End.
+        pub end: Option<common::End>,
+        /// Ended.
+        pub ended: u64,
+        /// Mark: 0 open, 1 done, 2 late, 3 refused, 4 uncertain.
+        pub mark: u8,
+    }
+
+    /// An [`outcome::Hour`].
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Hour {
+        /// Service.
+        pub service: String,
+        /// Start.
+        pub start: u64,
+        /// Promised, done, late, refused, uncertain.
+        pub counts: (u64, u64, u64, u64, u64),
+        /// Gaps.
+        pub gaps: Vec<(u64, u64)>,
+    }
+}
+
+impl From<&state::Ledger> for Ledger {
+    fn from(ledger: &state::Ledger) -> Self {
+        let jobs = ledger.table.jobs.iter();
+        Self {
+            now: ledger.now.0,
+            config: ledger.config.clone().into(),
+            replicas: ledger.replicas.iter().map(|(key, addr)| (key.0, addr.clone())).collect(),
+            tickets: ledger.book.records.iter().map(ticket).collect(),
+            setters: ledger.book.setters.iter().map(|(name, n)| (name.clone(), n.0)).collect(),
+            workers: ledger.roster.workers.iter().map(worker).collect(),
+            jobs: jobs.map(|(key, job)| Job::from((*key, job))).collect(),
+            expired: ledger.table.expired.iter().map(|(key, end)| (*key, end.0)).collect(),
+            services: ledger.calendar.created.iter().map(|(s, at)| (s.clone(), at.0)).collect(),
+            hours: ledger.calendar.hours.iter().map(hour).collect(),
+            reports: ledger.reports.iter().map(|(key, (n, at))| (*key, *n, at.0)).collect(),
+        }
+    }
+}
+
+fn ticket((number, record): (&ids::TicketNumber, &book::Record)) -> Ticket {
+    Ticket {
+        number: number.0,
+        digest: record.digest,
+        revision: record.revision.0,
+        at: record.at.0,
+        objects: record.objects.clone(),
+    }
+}
+
+fn worker((key, worker): (&ids::WorkerKey, &roster::Worker)) -> Worker {
+    Worker {
+        key: key.0,
+        spec: worker.spec.clone().into(),
+        incarnation: worker.incarnation,
+        epoch: worker.epoch.0,
+        present: worker.present,
+        leaving: worker.leaving,
+        tasks: worker.tasks,
+        accelerators: worker.accelerators,
+    }
+}
+
+fn hour(((service, start), hour): (&(String, time::Wall), &outcome::Hour)) -> Hour {
+    Hour {
+        service: service.clone(),
+        start: start.0,
+        counts: (hour.promised, hour.done, hour.late, hour.refused, hour.uncertain),
+        gaps: hour.gaps.iter().map(|gap| (gap.from.0, gap.until.0)).collect(),
+    }
+}
+
+impl From<(ids::JobKey, &table::Job)> for Job {
+    fn from((key, job): (ids::JobKey, &table::Job)) -> Self {
+        Self {
+            key: key.0,
+            spec: job.spec.clone().into(),
+            digest: job.digest,
+            submitted: job.submitted.0,
+            phase: job.phase as u8,
+            attempt: job.attempt,
+            releases: job.releases,
+            failures: job.failures,
+            flags: (job.touched, job.cancelled, job.stopping),
+            members: job.members.iter().copied().map(common::Member::from).collect(),
+            released: job.released.0,
+            answer: job.answer.clone(),
+            end: job.end.clone().map(common::End::from),
+            ended: job.ended.0,
+            mark: job.mark as u8,
+        }
+    }
+}
+
+impl TryFrom<Job> for table::Job {
+    type Error = codec::Error;
+
+    fn try_from(job: Job) -> Result<Self, codec::Error> {
+        let (touched, cancelled, stopping) = job.flags;
+        Ok(Self {
+            spec: job.spec.try_into()?,
+            digest: job.digest,
+            submitted: time::Wall(job.submitted),
+            phase: phase(job.phase)?,
+            attempt: job.attempt,
+            releases: job.releases,
+            failures: job.failures,
+            touched,
+            cancelled,
+            stopping,
+            members: job.members.into_iter().map(job::Member::from).collect(),
+            released: time::Wall(job.released),
+            answer: job.answer,
+            end: job.end.map(job::End::try_from).transpose()?,
+            ended: time::Wall(job.ended),
+            mark: mark(job.mark)?,
+        })
+    }
+}
+
+fn phase(number: u8) -> Result<job::Phase, codec::Error> {
+    Ok(match number {
+        0 => job::Phase::Queued,
+        1 => job::Phase::Released,
+        2 => job::Phase::Ended,
+        _ => return Err(codec::Error::OutOfRange("phase")),
+    })
+}
+
+fn mark(number: u8) -> Result<calendar::Mark, codec::Error> {
+    Ok(match number {
+        0 => calendar::Mark::Open,
+        1 => calendar::Mark::Done,
+        2 => calendar::Mark::Late,
+        3 => calendar::Mark::Refused,
+        4 => calendar::Mark::Uncertain,
+        _ => return Err(codec::Error::OutOfRange("mark")),
+    })
+}
+
+impl TryFrom<Ledger> for state::Ledger {
+    type Error = codec::Error;
+
+    fn try_from(wire: Ledger) -> Result<Self, codec::Error> {
+        let mut ledger = state::Ledger {
+            now: time::Wall(wire.now),
+            config: wire.config.try_into()?,
+            replicas: wire.replicas.into_iter().map(|(k, a)| (ids::ReplicaKey(k), a)).collect(),
+            ..Default::default()
+        };
+        for (object, number) in wire.setters {
+            ledger.book.setters.insert(object, ids::TicketNumber(number));
+        }
+        for ticket in wire.tickets {
+            let record = book::Record {
+                digest: ticket.digest,
+                revision: ids::Revision(ticket.revision),
+                at: time::Wall(ticket.at),
+                objects: ticket.objects,
+            };
+            ledger.book.records.insert(ids::TicketNumber(ticket.number), record);
+        }
+        for worker in wire.workers {
+            restore_worker(&mut ledger.roster, worker)?;
+        }
+        for (service, at) in wire.services {
+            ledger.calendar.created.insert(service, time::Wall(at));
+        }
+        for hour in wire.hours {
+            restore_hour(&mut ledger.calendar, hour);
+        }
+        for (entry, sequence, at) in wire.reports {
+            ledger.reports.insert(entry, (sequence, time::Wall(at)));
+        }
+        for (digest, end) in wire.expired {
+            ledger.table.expired.insert(digest, time::Wall(end));
+            ledger.table.key_ends.insert((time::Wall(end), digest));
+        }
+        for job in wire.jobs {
+            let key = ids::JobKey(job.key);
+            ledger.table.restore(key, job.try_into()?);
+        }
+        Ok(ledger)
+    }
+}
+
+fn restore_worker(roster: &mut roster::Roster, worker: Worker) -> Result<(), codec::Error> {
+    let key = ids::WorkerKey(worker.key);
+    let worker = roster::Worker {
+        spec: worker.spec.try_into()?,
+        incarnation: worker.incarnation,
+        epoch: ids::Epoch(worker.epoch),
+        present: worker.present,
+        leaving: worker.leaving,
+        tasks: worker.tasks,
+        accelerators: worker.accelerators,
+    };
+    roster.names.insert(worker.spec.name.clone(), key);
+    roster.workers.insert(key, worker);
+    Ok(())
+}
+
+fn restore_hour(calendar: &mut calendar::Calendar, hour: Hour) {
+    let (promised, done, late, refused, uncertain) = hour.counts;
+    let gaps = hour
+        .gaps
+        .into_iter()
+        .map(|(from, until)| outcome::Gap { from: time::Wall(from), until: time::Wall(until) });
+    let record = outcome::Hour { promised, done, late, refused, uncertain, gaps: gaps.collect() };
+    calendar.hours.insert((hour.service, time::Wall(hour.start)), record);
+}
