Add leases, one a worker, for both sides

Cause: agents and control need one rule for how long a worker's tasks may run and when its places may be given away, without comparing clocks. Ruled out: counting the agent's lease from the arrival of the grant (a slow or frozen answer would stretch it past control's wait); renewing a lease that has ended but not been noticed yet (control may already be recording the loss). Change: core::lease::Holder counts from the sending of the heartbeat; core::lease::Grantor counts from its arrival, waits a margin longer, and assumes that a predecessor granted until the moment this replica began to lead.

--- /dev/null
+++ b/tests/testsuite/lease.rs
@@ -0,0 +1,154 @@
+//! Leases, both sides: who may rely on what, and for how long.
+
+use hemlockcleat::core::ids;
+use hemlockcleat::core::lease;
+use hemlockcleat::core::time;
+use rstest::rstest;
+
+const WORKER: ids::WorkerKey = ids::WorkerKey(7);
+const EPOCH: ids::Epoch = ids::Epoch(3);
+const START: time::Tick = time::Tick(10_000);
+
+fn at(millis: u64) -> time::Tick {
+    START + time::Millis(millis)
+}
+
+/// A holder that sent its first heartbeat at the start and has no grant yet.
+fn holder() -> (lease::Holder, u64) {
+    let mut holder = lease::Holder::new();
+    assert!(holder.register(EPOCH));
+    let sequence = holder.heartbeat(START);
+    (holder, sequence)
+}
+
+#[test]
+fn holder_counts_from_sending() {
+    let (mut holder, sequence) = holder();
+    assert!(!holder.valid(START));
+    assert!(holder.grant(sequence, EPOCH, lease::LENGTH));
+    assert_eq!(holder.expires(), Some(START + lease::LENGTH));
+    assert!(holder.valid(at(lease::LENGTH.0 - 1)));
+    assert!(!holder.valid(at(lease::LENGTH.0)));
+}
+
+#[rstest]
+#[case::unknown_sequence(99, EPOCH)]
+#[case::older_epoch(1, ids::Epoch(2))]
+#[case::newer_epoch(1, ids::Epoch(4))]
+fn holder_ignores_grant(#[case] sequence: u64, #[case] epoch: ids::Epoch) {
+    let (mut holder, _) = holder();
+    assert!(!holder.grant(sequence, epoch, lease::LENGTH));
+    assert!(!holder.valid(START));
+}
+
+#[test]
+fn holder_ignores_doubled_and_older_grants() {
+    let (mut holder, first) = holder();
+    let second = holder.heartbeat(at(1000));
+    assert!(holder.grant(second, EPOCH, lease::LENGTH));
+    let expires = holder.expires();
+    assert!(!holder.grant(second, EPOCH, lease::LENGTH));
+    assert!(!holder.grant(first, EPOCH, lease::LENGTH));
+    assert_eq!(holder.expires(), expires);
+}
+
+#[test]
+fn holder_grant_after_freeze_is_past() {
+    let (mut holder, sequence) = holder();
+    // The process is stopped for a minute between the heartbeat and the answer.
+    assert!(holder.grant(sequence, EPOCH, lease::LENGTH));
+    assert!(!holder.valid(at(60_000)));
+    assert_eq!(holder.remaining(at(60_000)), time::Millis(0));
+}
+
+#[test]
+fn holder_caps_length() {
+    let (mut holder, sequence) = holder();
+    assert!(holder.grant(sequence, EPOCH, time::Millis::from_secs(3600)));
+    assert_eq!(holder.expires(), Some(START + lease::LENGTH));
+}
+
+#[test]
+fn holder_fenced_epoch_stays_ended() {
+    let (mut holder, sequence) = holder();
+    assert!(!holder.fence(ids::Epoch(2)));
+    assert!(holder.fence(EPOCH));
+    assert!(!holder.grant(sequence, EPOCH, lease::LENGTH));
+    assert!(!holder.register(EPOCH));
+    assert!(holder.register(ids::Epoch(4)));
+    assert!(!holder.valid(START));
+}
+
+#[test]
+fn holder_bounds_outstanding() {
+    let (mut holder, first) = holder();
+    for second in 1..1000 {
+        holder.heartbeat(at(second * 1000));
+    }
+    assert!(!holder.grant(first, EPOCH, lease::LENGTH));
+}
+
+#[test]
+fn grantor_outlives_holder() {
+    let mut grantor = lease::Grantor::new(START);
+    grantor.track(WORKER, EPOCH, START);
+    let (mut holder, sequence) = holder();
+    // The heartbeat takes 300 ms to arrive and its answer 500 ms.
+    let reply = grantor.heartbeat(WORKER, EPOCH, at(300));
+    let lease::Reply::Grant { epoch, length } = reply else { panic!("no grant") };
+    assert!(holder.grant(sequence, epoch, length));
+    let mut ended = None;
+    for millis in 800..10_000 {
+        if !grantor.expired(at(millis)).is_empty() {
+            assert!(!holder.valid(at(millis)));
+            ended = Some(millis);
+            break;
+        }
+    }
+    assert_eq!(ended, Some(300 + lease::LENGTH.0 + lease::MARGIN.0));
+}
+
+#[test]
+fn grantor_inherits_predecessor() {
+    let mut grantor = lease::Grantor::new(START);
+    // Tracked early or late, no worker is given up before a predecessor's lease has ended.
+    grantor.track(WORKER, EPOCH, time::Tick(0));
+    let last = lease::LENGTH.0 + lease::MARGIN.0;
+    assert!(grantor.expired(at(last - 1)).is_empty());
+    assert_eq!(grantor.expired(at(last)), [(WORKER, EPOCH)]);
+}
+
+#[rstest]
+#[case::unknown_worker(ids::WorkerKey(8), EPOCH, 0)]
+#[case::older_epoch(WORKER, ids::Epoch(2), 0)]
+#[case::newer_epoch(WORKER, ids::Epoch(4), 0)]
+#[case::ended_unnoticed(WORKER, EPOCH, 5000)]
+fn grantor_fences(#[case] worker: ids::WorkerKey, #[case] epoch: ids::Epoch, #[case] late: u64) {
+    let mut grantor = lease::Grantor::new(START);
+    grantor.track(WORKER, EPOCH, START);
+    assert_eq!(grantor.heartbeat(worker, epoch, at(late)), lease::Reply::Fenced);
+}
+
+#[test]
+fn grantor_drop_then_track() {
+    let mut grantor = lease::Grantor::new(START);
+    grantor.track(WORKER, EPOCH, START);
+    grantor.drop(WORKER);
+    assert_eq!(grantor.heartbeat(WORKER, EPOCH, START), lease::Reply::Fenced);
+    assert!(grantor.expired(at(60_000)).is_empty());
+    let next = ids::Epoch(4);
+    grantor.track(WORKER, next, at(60_000));
+    assert!(matches!(grantor.heartbeat(WORKER, next, at(60_001)), lease::Reply::Grant { .. }));
+}
+
+#[test]
+fn grantor_track_never_goes_back() {
+    let mut grantor = lease::Grantor::new(START);
+    grantor.track(WORKER, EPOCH, START);
+    grantor.track(WORKER, ids::Epoch(2), at(1));
+    assert!(matches!(grantor.heartbeat(WORKER, EPOCH, at(2)), lease::Reply::Grant { .. }));
+    // A clock read before an earlier heartbeat does not shorten the lease.
+    grantor.heartbeat(WORKER, EPOCH, at(3000));
+    grantor.heartbeat(WORKER, EPOCH, at(1000));
+    assert!(grantor.expired(at(3000 + lease::LENGTH.0 + lease::MARGIN.0 - 1)).is_empty());
+}
