Add the control replica's shell

Sessions of entries and agents, the leader's state and its loop, and the translation between the ledger and what callers and operators see. The leader's state is made from the ledger inside the role change itself, so that no event can be seen twice or missed between the two.

--- /dev/null
+++ b/src/control/agent_session.rs
@@ -0,0 +1,212 @@
+//! The session of one agent with the leading replica.
+
+use std::rc;
+
+use crate::control::machine;
+use crate::control::machine_state;
+use crate::control::order;
+use crate::control::proposer;
+use crate::core::gang::step;
+use crate::core::ids;
+use crate::core::lease::grantor;
+use crate::core::ledger::command;
+use crate::core::ledger::job;
+use crate::core::ledger::outcome;
+use crate::net::stream;
+use crate::telemetry::event;
+use crate::wire::agent;
+use crate::wire::codec;
+
+/// Serves one agent's stream until it ends or this replica no longer leads.
+pub async fn serve(proposer: proposer::Proposer, cell: ids::CellKey, incoming: stream::Incoming) {
+    let peer = incoming.peer;
+    let (sender, mut receiver) = incoming.split::<agent::Up, agent::Down>();
+    let Some(agent::Up::Hello { version, cell: named, incarnation, .. }) = receiver.receive().await
+    else {
+        return;
+    };
+    if version != codec::VERSION || named != cell.0 {
+        event::control::SESSION_REFUSED
+            .log(format_args!("peer={peer} version={version} cell={named}"));
+        return;
+    }
+    let mut role = proposer.shared.role.subscribe();
+    if let machine::Role::Follower { leader } = role.borrow_and_update().clone() {
+        redirect(&sender, leader).await;
+        return;
+    }
+    sender.send(&agent::Down::Welcome { replica: 0 }).await;
+    let shared = proposer.shared.clone();
+    let mut session =
+        Session { proposer, sender, incarnation, announced: None, worker: None };
+    loop {
+        tokio::select! {
+            message = receiver.receive() => match message {
+                Some(message) => session.take(message).await,
+                None => break,
+            },
+            changed = role.changed() => {
+                let role = role.borrow_and_update().clone();
+                if let machine::Role::Follower { leader } = role {
+                    redirect(&session.sender, leader).await;
+                    break;
+                }
+                // A new term of our own: the leader's state is new and knows no session yet.
+                if changed.is_err() || !session.reopen().await {
+                    break;
+                }
+            }
+        }
+    }
+    session.close(&shared);
+}
+
+async fn redirect(
+    sender: &stream::Sender<agent::Down>,
+    leader: Option<(ids::ReplicaKey, String)>,
+) {
+    let leader = leader.map(|(_, addr)| addr);
+    sender.send(&agent::Down::NotLeader { leader }).await;
+}
+
+/// A registered worker.
+#[derive(Clone, Copy)]
+struct Registered {
+    key: ids::WorkerKey,
+    epoch: ids::Epoch,
+    session: u64,
+}
+
+struct Session {
+    proposer: proposer::Proposer,
+    sender: stream::Sender<agent::Down>,
+    incarnation: u64,
+    announced: Option<(job::WorkerSpec, bool)>,
+    worker: Option<Registered>,
+}
+
+impl Session {
+    async fn take(&mut self, message: agent::Up) {
+        match message {
+            agent::Up::Hello { .. } => {}
+            agent::Up::Announce { spec, leaving } => {
+                if let Ok(spec) = job::WorkerSpec::try_from(spec) {
+                    self.announced = Some((spec, leaving));
+                    self.register().await;
+                }
+            }
+            agent::Up::Heartbeat { sequence, epoch, revision, attempts, .. } => {
+                self.heartbeat(sequence, ids::Epoch(epoch), ids::Revision(revision)).await;
+                for attempt in attempts {
+                    self.member(|worker| step::Input::Held { attempt: attempt.into(), worker });
+                }
+            }
+            agent::Up::Prepared { attempt, ok, .. } => {
+                self.member(|worker| step::Input::Prepared {
+                    attempt: attempt.into(),
+                    worker,
+                    ok,
+                });
+            }
+            agent::Up::Started { attempt } => {
+                self.member(|worker| step::Input::Started { attempt: attempt.into(), worker });
+            }
+            agent::Up::Chunk { attempt, offset, bytes } => {
+                let chunk = command::Command::Chunk { attempt: attempt.into(), offset, bytes };
+                let _ = self.proposer.propose_patiently(chunk).await;
+            }
+            agent::Up::Ended { attempt, result } => {
+                let result = order::member_result(result);
+                self.member(|worker| step::Input::Ended {
+                    attempt: attempt.into(),
+                    worker,
+                    result,
+                });
+            }
+        }
+    }
+
+    fn member(&self, input: impl FnOnce(ids::WorkerKey) -> step::Input) {
+        let Some(worker) = self.worker else { return };
+        self.proposer
+            .shared
+            .with_lead(|lead, ledger, now| lead.member(ledger, input(worker.key), now));
+    }
+
+    /// Makes the announcement durable, unless the ledger holds it already, and opens the session.
+    async fn register(&mut self) {
+        let Some((spec, leaving)) = self.announced.clone() else { return };
+        let known = self.known(&spec, leaving);
+        let registered = match known {
+            Some(known) => Some(known),
+            None => self.propose_worker(spec, leaving).await,
+        };
+        let Some((key, epoch)) = registered else { return };
+        let sender = self.sender.clone();
+        let opened = self.proposer.shared.with_lead(|lead, ledger, now| {
+            lead.open_session(ledger, key, epoch, sender, now)
+        });
+        let Some(session) = opened else { return };
+        self.worker = Some(Registered { key, epoch, session });
+        event::control::WORKER_REGISTERED.log(format_args!("worker={key} epoch={epoch}"));
+        let registered = agent::Down::Registered { worker: key.0, epoch: epoch.0 };
+        self.sender.send(&registered).await;
+    }
+
+    fn known(
+        &self,
+        spec: &job::WorkerSpec,
+        leaving: bool,
+    ) -> Option<(ids::WorkerKey, ids::Epoch)> {
+        let ledger = self.proposer.shared.ledger.borrow();
+        let (key, worker) = ledger.roster.find(&spec.name)?;
+        let same = worker.present
+            && worker.incarnation == self.incarnation
+            && worker.leaving == leaving
+            && worker.spec == *spec;
+        same.then_some((key, worker.epoch))
+    }
+
+    async fn propose_worker(
+        &self,
+        spec: job::WorkerSpec,
+        leaving: bool,
+    ) -> Option<(ids::WorkerKey, ids::Epoch)> {
+        let incarnation = self.incarnation;
+        let command = command::Command::Worker { spec, incarnation, leaving };
+        match self.proposer.propose_patiently(command).await {
+            Ok(outcome::Outcome::Worker(key, epoch)) => Some((key, epoch)),
+            _ => None,
+        }
+    }
+
+    async fn heartbeat(&mut self, sequence: u64, epoch: ids::Epoch, revision: ids::Revision) {
+        let Some(worker) = self.worker else { return };
+        if !self.proposer.log.leads() {
+            return;
+        }
+        let reply = self.proposer.shared.with_lead(|lead, _, now| {
+            lead.heartbeat(worker.key, epoch, revision, now)
+        });
+        let message = match reply {
+            Some(grantor::Reply::Grant { epoch, length }) => {
+                agent::Down::Lease { sequence, epoch: epoch.0, length: length.0 }
+            }
+            Some(grantor::Reply::Fenced) => agent::Down::Fenced { epoch: epoch.0 },
+            None => return,
+        };
+        self.sender.send(&message).await;
+    }
+
+    async fn reopen(&mut self) -> bool {
+        self.register().await;
+        !self.sender.is_closed()
+    }
+
+    fn close(&self, shared: &rc::Rc<machine_state::Shared>) {
+        let Some(worker) = self.worker else { return };
+        shared.with_lead(|lead, ledger, now| {
+            lead.close_session(ledger, worker.key, worker.session, now);
+        });
+    }
+}
--- /dev/null
+++ b/src/control/calls.rs
@@ -0,0 +1,250 @@
+//! The calls of entries: what callers and operators ask of the leading replica.
+
+use std::time as std_time;
+
+use crate::control::proposer;
+use crate::control::report;
+use crate::core::ids;
+use crate::core::ledger::command;
+use crate::core::ledger::job;
+use crate::core::ledger::outcome;
+use crate::core::ledger::state;
+use crate::core::time;
+use crate::core::verdict;
+use crate::net::stream;
+use crate::telemetry::event;
+use crate::wire::common;
+use crate::wire::entry;
+
+/// The longest a fetch may wait before it is answered with the state as it is.
+const MAX_WAIT: std_time::Duration = std_time::Duration::from_secs(60);
+
+/// One call in hand.
+pub struct Call {
+    /// Where commands go.
+    pub proposer: proposer::Proposer,
+    /// Where replies go.
+    pub sender: stream::Sender<entry::Down>,
+    /// The call's number.
+    pub id: u64,
+}
+
+/// Nothing to say: this replica does not lead, and the entry is told so for all its calls.
+struct NotLeader;
+
+type Answer = Result<entry::Reply, NotLeader>;
+
+/// The reply to a call beyond the bound.
+pub fn overloaded() -> entry::Reply {
+    let refusal = verdict::Refusal::not_run(verdict::Reason::Overloaded, "too many calls");
+    entry::Reply::Refused(refusal.into())
+}
+
+fn refused(reason: verdict::Reason, detail: impl Into<String>) -> entry::Reply {
+    entry::Reply::Refused(verdict::Refusal::not_run(reason, detail).into())
+}
+
+impl Call {
+    /// Runs the call and sends its replies.
+    pub async fn run(self, trace: common::Trace, body: entry::Call) {
+        let answer = match body {
+            entry::Call::Answer { account, key, offset } => {
+                self.answer(&account, &key, offset).await
+            }
+            body => self.reply(trace, body).await,
+        };
+        match answer {
+            Ok(body) => {
+                self.sender.send(&entry::Down::Reply { id: self.id, body }).await;
+            }
+            Err(NotLeader) => {
+                let leader = self.leader();
+                self.sender.send(&entry::Down::NotLeader { leader }).await;
+            }
+        }
+    }
+
+    fn leader(&self) -> Option<String> {
+        match self.proposer.log.view().role {
+            crate::control::machine::Role::Follower { leader } => leader.map(|(_, addr)| addr),
+            crate::control::machine::Role::Leader(_) => None,
+        }
+    }
+
+    async fn reply(&self, trace: common::Trace, body: entry::Call) -> Answer {
+        match body {
+            entry::Call::Submit(spec) => self.submit(trace, spec).await,
+            entry::Call::Cancel { account, key } => {
+                let outcome = self.propose(command::Command::Cancel { account, key }).await?;
+                Ok(self.job_outcome(outcome))
+            }
+            entry::Call::Fetch { account, key, wait } => self.fetch(&account, &key, wait).await,
+            entry::Call::Ticket(ticket) => self.ticket(ticket).await,
+            body => {
+                self.barrier().await?;
+                self.read(body)
+            }
+        }
+    }
+
+    /// Answers a call that only reads, from the state that the barrier has proved current.
+    fn read(&self, body: entry::Call) -> Answer {
+        let ledger = self.proposer.shared.ledger.borrow();
+        Ok(match body {
+            entry::Call::TicketShow(number) => report::ticket(&ledger, number),
+            entry::Call::Config => entry::Reply::Config(ledger.config.clone().into()),
+            entry::Call::Workers => {
+                let lead = self.proposer.shared.lead.borrow();
+                entry::Reply::Workers(report::workers(&ledger, lead.as_ref().ok_or(NotLeader)?))
+            }
+            entry::Call::Jobs { account, limit } => {
+                entry::Reply::Jobs(report::jobs(&ledger, &account, limit as usize))
+            }
+            entry::Call::JobShow(number) => job_reply(&ledger, ids::JobKey(number)),
+            entry::Call::Status => {
+                let lead = self.proposer.shared.lead.borrow();
+                let lead = lead.as_ref().ok_or(NotLeader)?;
+                entry::Reply::Status(report::status(&ledger, lead, self.proposer.log.view()))
+            }
+            entry::Call::Hours { from, until } => {
+                let now = self.proposer.shared.now().wall;
+                let span = (time::Wall(from), time::Wall(until));
+                entry::Reply::Hours(report::hours(&ledger, span, now))
+            }
+            _ => refused(verdict::Reason::BadRequest, "not a call that reads"),
+        })
+    }
+
+    async fn submit(&self, trace: common::Trace, spec: common::Spec) -> Answer {
+        let spec = match job::Spec::try_from(spec) {
+            Ok(spec) => spec,
+            Err(error) => return Ok(refused(verdict::Reason::BadRequest, error.to_string())),
+        };
+        let outcome = self.propose(command::Command::Submit(spec)).await?;
+        if let outcome::Outcome::Job(job) = outcome {
+            self.proposer.shared.with_lead(|lead, _, _| lead.trace(job, trace));
+        }
+        Ok(self.job_outcome(outcome))
+    }
+
+    fn job_outcome(&self, outcome: outcome::Outcome) -> entry::Reply {
+        match outcome {
+            outcome::Outcome::Job(job) => job_reply(&self.proposer.shared.ledger.borrow(), job),
+            outcome::Outcome::Refused(refusal) => entry::Reply::Refused(refusal.into()),
+            _ => refused(verdict::Reason::Unknown, ""),
+        }
+    }
+
+    async fn ticket(&self, ticket: common::Ticket) -> Answer {
+        let ticket = match command::Ticket::try_from(ticket) {
+            Ok(ticket) => ticket,
+            Err(error) => return Ok(refused(verdict::Reason::BadRequest, error.to_string())),
+        };
+        let number = ticket.number;
+        Ok(match self.propose(command::Command::Ticket(ticket)).await? {
+            outcome::Outcome::Ticket(revision) => {
+                event::control::TICKET_ACCEPTED
+                    .log(format_args!("number={number} revision={revision}"));
+                entry::Reply::Ticket { revision: revision.0 }
+            }
+            outcome::Outcome::Refused(refusal) => {
+                event::control::TICKET_REFUSED.log(format_args!("number={number} why={refusal}"));
+                entry::Reply::Refused(refusal.into())
+            }
+            _ => refused(verdict::Reason::BadRequest, ""),
+        })
+    }
+
+    async fn fetch(&self, account: &str, key: &str, wait: u64) -> Answer {
+        self.barrier().await?;
+        let job = match self.find(account, key) {
+            Ok(job) => job,
+            Err(reply) => return Ok(reply),
+        };
+        let wait = std_time::Duration::from_millis(wait).min(MAX_WAIT);
+        if !wait.is_zero() && !self.has_ended(job) {
+            let ended = self.proposer.shared.wait(job);
+            // A dropped sender means that this replica no longer leads.
+            if let Ok(Err(_)) = tokio::time::timeout(wait, ended).await {
+                return Err(NotLeader);
+            }
+        }
+        Ok(job_reply(&self.proposer.shared.ledger.borrow(), job))
+    }
+
+    fn find(&self, account: &str, key: &str) -> Result<ids::JobKey, entry::Reply> {
+        let ledger = self.proposer.shared.ledger.borrow();
+        if let Some(job) = ledger.table.find(account, key) {
+            return Ok(job);
+        }
+        if ledger.table.forgotten(account, key) {
+            let reason = verdict::Reason::KeyExpired;
+            let refusal = verdict::Refusal::may_have_run(reason, key);
+            return Err(entry::Reply::Refused(refusal.into()));
+        }
+        Err(refused(verdict::Reason::Unknown, key))
+    }
+
+    fn has_ended(&self, job: ids::JobKey) -> bool {
+        let ledger = self.proposer.shared.ledger.borrow();
+        ledger.table.jobs.get(&job).is_some_and(|job| job.phase == job::Phase::Ended)
+    }
+
+    /// Sends all chunks but the last, and returns the last.
+    async fn answer(&self, account: &str, key: &str, offset: u64) -> Answer {
+        self.barrier().await?;
+        let job = match self.find(account, key) {
+            Ok(job) => job,
+            Err(reply) => return Ok(reply),
+        };
+        let mut offset = offset;
+        loop {
+            let reply = self.chunk(job, offset);
+            let entry::Reply::Chunk { bytes, last: false, .. } = &reply else { return Ok(reply) };
+            offset += bytes.len() as u64;
+            let down = entry::Down::Reply { id: self.id, body: reply };
+            if !self.sender.send(&down).await {
+                return Err(NotLeader);
+            }
+        }
+    }
+
+    fn chunk(&self, job: ids::JobKey, offset: u64) -> entry::Reply {
+        let ledger = self.proposer.shared.ledger.borrow();
+        let Some(job) = ledger.table.jobs.get(&job) else {
+            return refused(verdict::Reason::Unknown, "");
+        };
+        match &job.end {
+            Some(job::End::Done(_)) => {}
+            Some(job::End::Refused(refusal)) => {
+                return entry::Reply::Refused(refusal.clone().into());
+            }
+            None => return refused(verdict::Reason::Unknown, "the request has not ended"),
+        }
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(job.answer.len());
+        let end = (start + job::CHUNK).min(job.answer.len());
+        let bytes = job.answer[start..end].to_vec();
+        entry::Reply::Chunk { offset: start as u64, bytes, last: end == job.answer.len() }
+    }
+
+    async fn barrier(&self) -> Result<(), NotLeader> {
+        self.proposer.log.barrier().await.map_err(|_| NotLeader)
+    }
+
+    async fn propose(&self, command: command::Command) -> Result<outcome::Outcome, NotLeader> {
+        match self.proposer.propose(command).await {
+            Ok(outcome) => Ok(outcome),
+            Err(error) => match proposer::refusal(&error) {
+                Some(refusal) => Ok(outcome::Outcome::Refused(refusal)),
+                None => Err(NotLeader),
+            },
+        }
+    }
+}
+
+fn job_reply(ledger: &state::Ledger, job: ids::JobKey) -> entry::Reply {
+    match report::job(ledger, job) {
+        Some(job) => entry::Reply::Job(job),
+        None => refused(verdict::Reason::Unknown, job.to_string()),
+    }
+}
--- /dev/null
+++ b/src/control/entry_session.rs
@@ -0,0 +1,161 @@
+//! The session of one entry with a replica: calls, the configuration and reports of refusals.
+
+use std::collections::BTreeMap;
+
+use futures_util::future;
+use futures_util::stream as futures_stream;
+use futures_util::stream::StreamExt as _;
+
+use crate::control::calls;
+use crate::control::machine;
+use crate::control::proposer;
+use crate::core::ids;
+use crate::core::ledger::command;
+use crate::core::time;
+use crate::net::stream;
+use crate::telemetry::event;
+use crate::wire::codec;
+use crate::wire::common;
+use crate::wire::entry;
+
+/// The most calls of one entry in hand at once; more are refused.
+const MAX_CALLS: usize = 16 * 1024;
+
+/// Serves one entry's stream until it ends.
+pub async fn serve(
+    proposer: proposer::Proposer,
+    cell: ids::CellKey,
+    replica: ids::ReplicaKey,
+    incoming: stream::Incoming,
+) {
+    let peer = incoming.peer;
+    let (sender, mut receiver) = incoming.split::<entry::Up, entry::Down>();
+    let Some(entry::Up::Hello { version, cell: named, entry, revision }) =
+        receiver.receive().await
+    else {
+        return;
+    };
+    if version != codec::VERSION || named != cell.0 {
+        event::control::SESSION_REFUSED
+            .log(format_args!("peer={peer} version={version} cell={named}"));
+        return;
+    }
+    sender.send(&entry::Down::Welcome { replica: replica.0 }).await;
+    let session = Session { proposer, sender, entry };
+    session.run(receiver, ids::Revision(revision)).await;
+}
+
+struct Session {
+    proposer: proposer::Proposer,
+    sender: stream::Sender<entry::Down>,
+    entry: u64,
+}
+
+type Pending = futures_stream::FuturesUnordered<future::LocalBoxFuture<'static, u64>>;
+
+impl Session {
+    async fn run(self, mut receiver: stream::Receiver<entry::Up>, mut held: ids::Revision) {
+        let mut role = self.proposer.shared.role.subscribe();
+        let mut revision = self.proposer.shared.revision.subscribe();
+        let mut pending = Pending::new();
+        let mut handles = BTreeMap::new();
+        self.send_role(&role.borrow_and_update().clone()).await;
+        self.send_config(&mut held).await;
+        loop {
+            tokio::select! {
+                message = receiver.receive() => match message {
+                    Some(message) => self.take(message, &mut pending, &mut handles).await,
+                    None => return,
+                },
+                Some(id) = pending.next(), if !pending.is_empty() => {
+                    handles.remove(&id);
+                }
+                changed = revision.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.send_config(&mut held).await;
+                }
+                changed = role.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let role = role.borrow_and_update().clone();
+                    self.send_role(&role).await;
+                }
+            }
+        }
+    }
+
+    async fn send_role(&self, role: &machine::Role) {
+        if let machine::Role::Follower { leader } = role {
+            let leader = leader.clone().map(|(_, addr)| addr);
+            self.sender.send(&entry::Down::NotLeader { leader }).await;
+        }
+    }
+
+    async fn send_config(&self, held: &mut ids::Revision) {
+        let config = self.proposer.shared.ledger.borrow().config.clone();
+        if config.revision > *held {
+            *held = config.revision;
+            self.sender.send(&entry::Down::Config(common::Config::from(config))).await;
+        }
+    }
+
+    async fn take(
+        &self,
+        message: entry::Up,
+        pending: &mut Pending,
+        handles: &mut BTreeMap<u64, future::AbortHandle>,
+    ) {
+        match message {
+            entry::Up::Hello { .. } => {}
+            entry::Up::Call { id, trace, body } => {
+                if handles.len() >= MAX_CALLS {
+                    let body = calls::overloaded();
+                    self.sender.send(&entry::Down::Reply { id, body }).await;
+                    return;
+                }
+                let call =
+                    calls::Call { proposer: self.proposer.clone(), sender: self.sender.clone(), id };
+                let (run, handle) = future::abortable(call.run(trace, body));
+                handles.insert(id, handle);
+                pending.push(Box::pin(async move {
+                    let _ = run.await;
+                    id
+                }));
+            }
+            entry::Up::Forget { id } => {
+                if let Some(handle) = handles.remove(&id) {
+                    handle.abort();
+                }
+            }
+            entry::Up::Refusals { sequence, counts } => {
+                let stored = self.store_refusals(sequence, counts);
+                let sender = self.sender.clone();
+                pending.push(Box::pin(async move {
+                    if stored.await {
+                        sender.send(&entry::Down::RefusalsStored { sequence }).await;
+                    }
+                    0
+                }));
+            }
+        }
+    }
+
+    fn store_refusals(
+        &self,
+        sequence: u64,
+        counts: Vec<(String, u64, u64)>,
+    ) -> impl Future<Output = bool> + use<> {
+        let counts = counts.into_iter().map(|(service, hour, count)| command::RefusalCount {
+            service,
+            hour: time::Wall(hour).hour(),
+            count,
+        });
+        let command =
+            command::Command::Refusals { entry: self.entry, sequence, counts: counts.collect() };
+        let proposer = self.proposer.clone();
+        async move { proposer.propose(command).await.is_ok() }
+    }
+}
--- /dev/null
+++ b/src/control/leader_loop.rs
@@ -0,0 +1,146 @@
+//! The loop that carries out what the leader decides.
+
+use std::rc;
+use std::time;
+
+use futures_util::future;
+use futures_util::stream as futures_stream;
+use futures_util::stream::StreamExt as _;
+use tokio::sync::oneshot;
+
+use crate::control::lead;
+use crate::control::machine;
+use crate::control::proposer;
+use crate::core::ids;
+use crate::core::ledger::command;
+use crate::core::ledger::outcome;
+use crate::telemetry::event;
+
+/// How often the leader looks at leases, timeouts and the queue.
+const TICK: time::Duration = time::Duration::from_millis(50);
+
+/// How long the log may rest before the leader logs the time.
+const CLOCK: time::Duration = time::Duration::from_secs(10);
+
+type Pending = futures_stream::FuturesUnordered<future::LocalBoxFuture<'static, ()>>;
+
+/// The running loop.
+pub struct LeaderLoop {
+    task: actix_rt::task::JoinHandle<()>,
+    stop: oneshot::Sender<()>,
+}
+
+impl LeaderLoop {
+    /// Starts the loop.
+    pub fn start(proposer: proposer::Proposer) -> Self {
+        let (stop, stopped) = oneshot::channel();
+        let task = actix_rt::spawn(run(proposer, stopped));
+        Self { task, stop }
+    }
+
+    /// Stops the loop and joins it.
+    pub async fn stop(self) {
+        let _ = self.stop.send(());
+        let _ = self.task.await;
+    }
+}
+
+async fn run(proposer: proposer::Proposer, mut stopped: oneshot::Receiver<()>) {
+    let shared = proposer.shared.clone();
+    let mut pending = Pending::new();
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut clock = Clock { logged: ids::LogIndex(0), since: time::Instant::now() };
+    let changing = rc::Rc::new(std::cell::Cell::new(false));
+    loop {
+        tokio::select! {
+            _ = &mut stopped => return,
+            () = shared.wake.notified() => {}
+            Some(()) = pending.next(), if !pending.is_empty() => {}
+            _ = ticks.tick() => {
+                if proposer.log.leads() {
+                    shared.with_lead(|lead, ledger, now| lead.tick(ledger, now));
+                    clock.tick(&proposer, &mut pending);
+                    change_replicas(&proposer, &changing, &mut pending);
+                }
+            }
+        }
+        let effects = shared.lead.borrow_mut().as_mut().map(lead::Lead::take_effects);
+        for effect in effects.into_iter().flatten() {
+            carry_out(&proposer, effect, &mut pending);
+        }
+    }
+}
+
+fn carry_out(proposer: &proposer::Proposer, effect: lead::Effect, pending: &mut Pending) {
+    match effect {
+        lead::Effect::Propose(command) => pending.push(Box::pin(propose(proposer.clone(), command))),
+        lead::Effect::Send(sender, message) => {
+            // A full queue means an agent that does not read: the message is sent again later.
+            sender.try_send(&message);
+        }
+    }
+}
+
+async fn propose(proposer: proposer::Proposer, command: command::Command) {
+    let release = match &command {
+        command::Command::Release { attempt, .. } => Some(*attempt),
+        command::Command::WorkerLost { worker, epoch } => {
+            event::control::WORKER_LOST.log(format_args!("worker={worker} epoch={epoch}"));
+            None
+        }
+        _ => None,
+    };
+    let result = proposer.propose_patiently(command).await;
+    if let (Some(attempt), Ok(outcome::Outcome::Stale)) = (release, result) {
+        proposer.shared.with_lead(|lead, ledger, now| lead.release_refused(ledger, attempt, now));
+    }
+}
+
+/// Logs the time where nothing else is logged.
+struct Clock {
+    logged: ids::LogIndex,
+    since: time::Instant,
+}
+
+impl Clock {
+    fn tick(&mut self, proposer: &proposer::Proposer, pending: &mut Pending) {
+        let applied = proposer.shared.applied.get();
+        if applied != self.logged {
+            self.logged = applied;
+            self.since = time::Instant::now();
+        } else if self.since.elapsed() >= CLOCK {
+            self.since = time::Instant::now();
+            pending.push(Box::pin(propose(proposer.clone(), command::Command::Clock)));
+        }
+    }
+}
+
+/// Moves the group towards the replicas that the last ticket named, one step at a time.
+fn change_replicas(
+    proposer: &proposer::Proposer,
+    changing: &rc::Rc<std::cell::Cell<bool>>,
+    pending: &mut Pending,
+) {
+    let wanted = proposer.shared.ledger.borrow().replicas.clone();
+    if wanted.is_empty() || changing.get() || agrees(&proposer.log.view(), &wanted) {
+        return;
+    }
+    changing.set(true);
+    event::control::REPLICAS_CHANGING.log(format_args!("wanted={}", wanted.len()));
+    let log = proposer.log.clone();
+    let changing = changing.clone();
+    pending.push(Box::pin(async move {
+        let _ = log.reconfigure(wanted).await;
+        changing.set(false);
+    }));
+}
+
+fn agrees(view: &machine::GroupView, wanted: &[(ids::ReplicaKey, String)]) -> bool {
+    let voters = view.peers.iter().filter(|peer| peer.voter);
+    let mut present: Vec<_> = voters.map(|peer| (peer.key, peer.addr.clone())).collect();
+    let mut wanted = wanted.to_vec();
+    present.sort();
+    wanted.sort();
+    present == wanted && view.peers.len() == wanted.len()
+}
--- /dev/null
+++ b/src/control/machine_state.rs
@@ -0,0 +1,168 @@
+//! The ledger as the machine that the replicated log drives.
+
+use std::cell;
+use std::collections::BTreeMap;
+use std::rc;
+
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::control::clock;
+use crate::control::lead;
+use crate::control::machine;
+use crate::core::ids;
+use crate::core::ledger::command;
+use crate::core::ledger::outcome;
+use crate::core::ledger::state;
+use crate::telemetry::event;
+use crate::wire::codec;
+use crate::wire::command as wire_command;
+use crate::wire::snapshot;
+
+/// What the parts of a control process share. Borrows are short and never last over an await.
+pub struct Shared {
+    /// The process's clock.
+    pub clock: clock::Clock,
+    /// The ledger as far as it is applied here.
+    pub ledger: cell::RefCell<state::Ledger>,
+    /// The last applied entry.
+    pub applied: cell::Cell<ids::LogIndex>,
+    /// The leader's state, while this replica leads.
+    pub lead: cell::RefCell<Option<lead::Lead>>,
+    /// Wakes the leader's loop to carry out effects.
+    pub wake: tokio::sync::Notify,
+    /// The revision of the configuration in force here.
+    pub revision: watch::Sender<ids::Revision>,
+    /// The role of this replica; changes with each term it sees led.
+    pub role: watch::Sender<machine::Role>,
+    waiters: cell::RefCell<BTreeMap<ids::JobKey, Vec<oneshot::Sender<()>>>>,
+}
+
+impl Shared {
+    /// The state of a process that has applied nothing.
+    pub fn new() -> rc::Rc<Self> {
+        rc::Rc::new(Self {
+            clock: clock::Clock::start(),
+            ledger: cell::RefCell::default(),
+            applied: cell::Cell::default(),
+            lead: cell::RefCell::default(),
+            wake: tokio::sync::Notify::new(),
+            revision: watch::Sender::new(ids::Revision(0)),
+            role: watch::Sender::new(machine::Role::Follower { leader: None }),
+            waiters: cell::RefCell::default(),
+        })
+    }
+
+    /// Both clocks now. Civil time never lies before the ledger's.
+    pub fn now(&self) -> lead::Moment {
+        let wall = clock::wall().max(self.ledger.borrow().now);
+        lead::Moment { tick: self.clock.tick(), wall }
+    }
+
+    /// Calls `act` with the leader's state and the ledger, if this replica leads.
+    pub fn with_lead<T>(
+        &self,
+        act: impl FnOnce(&mut lead::Lead, &state::Ledger, lead::Moment) -> T,
+    ) -> Option<T> {
+        let now = self.now();
+        let ledger = self.ledger.borrow();
+        let mut lead = self.lead.borrow_mut();
+        let result = act(lead.as_mut()?, &ledger, now);
+        self.wake.notify_one();
+        Some(result)
+    }
+
+    /// Resolves when the job has ended here, or this replica no longer leads.
+    pub fn wait(&self, job: ids::JobKey) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiters = self.waiters.borrow_mut();
+        let waiting = waiters.entry(job).or_default();
+        waiting.retain(|waiter| !waiter.is_closed());
+        waiting.push(sender);
+        receiver
+    }
+
+    fn ended(&self, job: ids::JobKey) {
+        for waiter in self.waiters.borrow_mut().remove(&job).into_iter().flatten() {
+            let _ = waiter.send(());
+        }
+    }
+}
+
+/// The machine.
+pub struct LedgerMachine {
+    shared: rc::Rc<Shared>,
+}
+
+impl LedgerMachine {
+    /// A machine over the shared state.
+    pub fn new(shared: rc::Rc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    fn publish(&self, events: &[outcome::Event]) {
+        for event in events {
+            match event {
+                outcome::Event::Config(revision) => {
+                    self.shared.revision.send_replace(*revision);
+                }
+                outcome::Event::Ended(job) => self.shared.ended(*job),
+                _ => {}
+            }
+            self.shared.with_lead(|lead, ledger, now| lead.event(ledger, event, now));
+        }
+    }
+}
+
+impl machine::Machine for LedgerMachine {
+    fn apply(&mut self, index: ids::LogIndex, entry: &[u8]) -> Vec<u8> {
+        let decoded = codec::decode::<wire_command::Entry>(entry).and_then(command::Entry::try_from);
+        let mut events = Vec::new();
+        let outcome = match decoded {
+            Ok(entry) => self.shared.ledger.borrow_mut().apply(index, entry, &mut events),
+            Err(error) => {
+                event::control::ENTRY_UNREADABLE.log(format_args!("index={index} error={error}"));
+                outcome::Outcome::Stale
+            }
+        };
+        self.shared.applied.set(index);
+        self.publish(&events);
+        codec::encode(&wire_command::Outcome::from(outcome))
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        codec::encode(&snapshot::Ledger::from(&*self.shared.ledger.borrow()))
+    }
+
+    fn restore(&mut self, bytes: &[u8]) {
+        let restored = codec::decode_snapshot::<snapshot::Ledger>(bytes)
+            .and_then(state::Ledger::try_from)
+            .expect("a snapshot's checksum is verified before it is restored");
+        let revision = restored.config.revision;
+        *self.shared.ledger.borrow_mut() = restored;
+        self.shared.revision.send_if_modified(|held| {
+            let newer = revision > *held;
+            *held = revision.max(*held);
+            newer
+        });
+    }
+
+    fn role(&mut self, role: machine::Role) {
+        let lead = match &role {
+            machine::Role::Leader(term) => {
+                let now = self.shared.now();
+                let ledger = self.shared.ledger.borrow();
+                event::control::LEADING.log(format_args!("term={term}"));
+                Some(lead::Lead::new(*term, &ledger, self.shared.applied.get(), now))
+            }
+            machine::Role::Follower { .. } => None,
+        };
+        if lead.is_none() && self.shared.lead.borrow().is_some() {
+            event::control::NOT_LEADING.log(format_args!(""));
+            self.shared.waiters.borrow_mut().clear();
+        }
+        *self.shared.lead.borrow_mut() = lead;
+        self.shared.role.send_replace(role);
+        self.shared.wake.notify_one();
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,3 +1,117 @@
 //! The control replica: sockets, files and timers round the consensus, the ledger and the planner.
+//!
+//! [`replica`] keeps the replicated log and drives [`machine_state::LedgerMachine`]. While the
+//! replica leads, [`lead::Lead`] holds what only a leader has; [`leader_loop`] carries out its
+//! effects. [`entry_session`] and [`agent_session`] serve the streams of entries and agents.
 
+use std::cell;
+use std::rc;
+
+use futures_util::future;
+use quick_error::quick_error;
+
+use crate::core::ids;
+use crate::net::stream;
+use crate::settings;
+use crate::telemetry::event;
+
+pub mod agent_session;
+pub mod calls;
+pub mod clock;
+pub mod entry_session;
+pub mod lead;
+pub mod leader_loop;
 pub mod machine;
+pub mod machine_state;
+pub mod order;
+pub mod proposer;
+pub mod replica;
+pub mod report;
+
+/// Connections at once: peers, entries and agents.
+const MAX_CONNECTIONS: usize = 8192;
+
+quick_error! {
+    /// Why a control replica could not start.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The port can't be opened.
+        Listen(addr: std::net::SocketAddr, source: stream::Error) {
+            display("can't listen on {}: {}", addr, source)
+            source(source)
+        }
+        /// The replicated log can't start.
+        Replica(source: replica::Error) {
+            display("the replicated log can't start: {}", source)
+            source(source)
+            from()
+        }
+    }
+}
+
+/// A running control replica.
+pub struct Control {
+    server: stream::Server,
+    replica: rc::Rc<replica::Replica>,
+    leader_loop: leader_loop::LeaderLoop,
+}
+
+impl Control {
+    /// Opens the data folder and the port, and takes part in its group.
+    pub async fn start(settings: settings::control::Settings) -> Result<Self, Error> {
+        let shared = machine_state::Shared::new();
+        let machine = machine_state::LedgerMachine::new(shared.clone());
+        let machine = rc::Rc::new(cell::RefCell::new(machine));
+        let replica = replica::Replica::start(&settings, machine).await?;
+        let proposer = proposer::Proposer { log: replica.clone(), shared };
+        let router = Router {
+            proposer: proposer.clone(),
+            replica: replica.clone(),
+            cell: ids::CellKey(settings.cell),
+            key: ids::ReplicaKey(settings.replica),
+        };
+        let server = stream::Server::bind(settings.listen, MAX_CONNECTIONS, rc::Rc::new(router))
+            .await
+            .map_err(|source| Error::Listen(settings.listen, source))?;
+        event::general::STARTED
+            .log(format_args!("role=control replica={} addr={}", settings.replica, server.addr()));
+        let leader_loop = leader_loop::LeaderLoop::start(proposer);
+        Ok(Self { server, replica, leader_loop })
+    }
+
+    /// The address it listens on.
+    pub fn addr(&self) -> std::net::SocketAddr {
+        self.server.addr()
+    }
+
+    /// The planned stop: hands leadership over, closes the sessions and joins all it spawned.
+    pub async fn stop(self) {
+        event::general::STOPPING.log(format_args!("role=control"));
+        use machine::Log as _;
+        self.replica.hand_over().await;
+        self.leader_loop.stop().await;
+        self.server.stop().await;
+        self.replica.stop().await;
+        event::general::STOPPED.log(format_args!("role=control"));
+    }
+}
+
+/// Sends each stream to whoever serves its path.
+struct Router {
+    proposer: proposer::Proposer,
+    replica: rc::Rc<replica::Replica>,
+    cell: ids::CellKey,
+    key: ids::ReplicaKey,
+}
+
+impl stream::Handler for Router {
+    fn handle(&self, incoming: stream::Incoming) -> future::LocalBoxFuture<'static, ()> {
+        let proposer = self.proposer.clone();
+        match incoming.path.as_str() {
+            "/peer" => self.replica.handle_peer(incoming),
+            "/agent" => Box::pin(agent_session::serve(proposer, self.cell, incoming)),
+            "/entry" => Box::pin(entry_session::serve(proposer, self.cell, self.key, incoming)),
+            _ => Box::pin(future::ready(())),
+        }
+    }
+}
--- /dev/null
+++ b/src/control/proposer.rs
@@ -0,0 +1,62 @@
+//! Proposing commands and reading their outcomes.
+
+use std::rc;
+use std::time;
+
+use crate::control::machine;
+use crate::control::machine_state;
+use crate::core::ledger::command;
+use crate::core::ledger::outcome;
+use crate::core::verdict;
+use crate::wire::codec;
+use crate::wire::command as wire_command;
+
+/// How long to wait before a proposal that found too many waiting is made again.
+const BUSY_PAUSE: time::Duration = time::Duration::from_millis(20);
+
+/// Proposes commands to the replicated log.
+#[derive(Clone)]
+pub struct Proposer {
+    /// The log.
+    pub log: rc::Rc<dyn machine::Log>,
+    /// The state that entries are applied to.
+    pub shared: rc::Rc<machine_state::Shared>,
+}
+
+impl Proposer {
+    /// Proposes a command and waits until it is applied here.
+    pub async fn propose(
+        &self,
+        command: command::Command,
+    ) -> Result<outcome::Outcome, machine::ProposeError> {
+        let entry = command::Entry { at: self.shared.now().wall, command };
+        let bytes = codec::encode(&wire_command::Entry::from(entry));
+        let answer = self.log.propose(bytes).await?;
+        let decoded = codec::decode::<wire_command::Outcome>(&answer);
+        let outcome = decoded.and_then(outcome::Outcome::try_from);
+        Ok(outcome.unwrap_or(outcome::Outcome::Stale))
+    }
+
+    /// Proposes a command, again and again while too many wait.
+    pub async fn propose_patiently(
+        &self,
+        command: command::Command,
+    ) -> Result<outcome::Outcome, machine::ProposeError> {
+        loop {
+            match self.propose(command.clone()).await {
+                Err(machine::ProposeError::Busy) => tokio::time::sleep(BUSY_PAUSE).await,
+                result => return result,
+            }
+        }
+    }
+}
+
+/// What a caller is told of a proposal that failed. None: ask the leader instead.
+pub fn refusal(error: &machine::ProposeError) -> Option<verdict::Refusal> {
+    match error {
+        machine::ProposeError::NotLeader | machine::ProposeError::Unknown => None,
+        machine::ProposeError::Busy => {
+            Some(verdict::Refusal::not_run(verdict::Reason::Overloaded, "control is busy"))
+        }
+    }
+}
--- a/src/core/ledger/life.rs
+++ b/src/core/ledger/life.rs
@@ -83,6 +83,7 @@
             cancelled: false,
             stopping: false,
             members: Vec::new(),
+            placed: Vec::new(),
             released: time::Wall(0),
             answer: Vec::new(),
             end: None,
@@ -139,6 +140,7 @@
         job.phase = job::Phase::Released;
         job.attempt = attempt.number;
         job.releases += 1;
+        job.placed = members.clone();
         job.members = members;
         job.released = self.now;
         let account = job.spec.account.clone();
--- a/src/core/ledger/outcome.rs
+++ b/src/core/ledger/outcome.rs
@@ -1,7 +1,6 @@
 //! What applying a command gave.
 
 use crate::core::ids;
-use crate::core::ledger::job;
 use crate::core::time;
 use crate::core::verdict;
 use crate::macros;
@@ -69,22 +68,4 @@
         /// Its end.
         pub until: time::Wall,
     }
-
-    /// A job as callers and operators see it.
-    pub struct JobView {
-        /// The job.
-        pub job: ids::JobKey,
-        /// Its request.
-        pub spec: job::Spec,
-        /// When it was accepted.
-        pub submitted: time::Wall,
-        /// Where it stands.
-        pub phase: job::Phase,
-        /// How often it was released.
-        pub attempts: u32,
-        /// The workers of its last attempt.
-        pub members: Vec<job::Member>,
-        /// How it ended.
-        pub end: Option<job::End>,
-    }
 }
--- a/src/core/ledger/state.rs
+++ b/src/core/ledger/state.rs
@@ -230,20 +230,6 @@
         }
         outcome::Outcome::Applied
     }
-
-    /// A job as callers and operators see it.
-    pub fn view(&self, key: ids::JobKey) -> Option<outcome::JobView> {
-        let job = self.table.jobs.get(&key)?;
-        Some(outcome::JobView {
-            job: key,
-            spec: job.spec.clone(),
-            submitted: job.submitted,
-            phase: job.phase,
-            attempts: job.releases,
-            members: job.members.clone(),
-            end: job.end.clone(),
-        })
-    }
 }
 
 /// What a ticket would do.
--- a/src/core/ledger/table.rs
+++ b/src/core/ledger/table.rs
@@ -45,6 +45,8 @@
         pub stopping: bool,
         /// The workers of the last attempt, until they are cleared.
         pub members: Vec<job::Member>,
+        /// The workers of the last attempt, for people to see.
+        pub placed: Vec<job::Member>,
         /// When the last attempt was released.
         pub released: time::Wall,
         /// The answer as far as it has come.
@@ -81,7 +83,7 @@
 
 impl Job {
     /// The key of the last attempt.
-    pub fn attempt(&self, key: ids::JobKey) -> ids::AttemptKey {
+    pub fn last_attempt(&self, key: ids::JobKey) -> ids::AttemptKey {
         ids::AttemptKey { job: key, number: self.attempt }
     }
 
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -4,5 +4,4 @@
 //! answers with [`plan::Output`]s. A replica that begins to lead makes a new planner and feeds it
 //! the configuration, the workers, the running attempts and the queue, in this order.
 
-pub mod feasible;
 pub mod plan;
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -46,7 +46,19 @@
     if bytes.len() > MAX_MESSAGE {
         return Err(Error::Oversized(bytes.len()));
     }
-    let (message, used) = bincode::decode_from_slice(bytes, config())
+    decode_with(bytes, config())
+}
+
+/// Decodes a snapshot of any length, whose checksum the caller has verified.
+pub fn decode_snapshot<T: bincode::Decode<()>>(bytes: &[u8]) -> Result<T, Error> {
+    decode_with(bytes, bincode::config::standard())
+}
+
+fn decode_with<T: bincode::Decode<()>>(
+    bytes: &[u8],
+    config: impl bincode::config::Config,
+) -> Result<T, Error> {
+    let (message, used) = bincode::decode_from_slice(bytes, config)
         .map_err(|error| Error::Malformed(error.to_string()))?;
     if used != bytes.len() {
         return Err(Error::Trailing(bytes.len() - used));
--- a/src/wire/snapshot.rs
+++ b/src/wire/snapshot.rs
@@ -98,8 +98,10 @@
         pub failures: u32,
         /// Flags: touched, cancelled, stopping.
         pub flags: (bool, bool, bool),
-        /// Members.
+        /// Members that hold their grants.
         pub members: Vec<common::Member>,
+        /// Members of the last attempt.
+        pub placed: Vec<common::Member>,
         /// Released.
         pub released: u64,
         /// Answer.
@@ -190,6 +192,7 @@
             failures: job.failures,
             flags: (job.touched, job.cancelled, job.stopping),
             members: job.members.iter().copied().map(common::Member::from).collect(),
+            placed: job.placed.iter().copied().map(common::Member::from).collect(),
             released: job.released.0,
             answer: job.answer.clone(),
             end: job.end.clone().map(common::End::from),
@@ -216,6 +219,7 @@
             cancelled,
             stopping,
             members: job.members.into_iter().map(job::Member::from).collect(),
+            placed: job.placed.into_iter().map(job::Member::from).collect(),
             released: time::Wall(job.released),
             answer: job.answer,
             end: job.end.map(job::End::try_from).transpose()?,
