--- a/src/core/limit/mod.rs
+++ b/src/core/limit/mod.rs
@@ -1,1 +1,7 @@
-//! Admission, fair shares, shedding, retry budgets and the health of workers.
+//! Admission, shedding and retry budgets.
+
+mod admission;
+mod budget;
+
+pub use admission::{Admission, Refusal};
+pub use budget::RetryBudget;
--- /dev/null
+++ b/src/core/placement/fit.rs
@@ -0,0 +1,189 @@
+//! The search for a place: which workers take how many tasks of a shape.
+//!
+//! Best fit, with whole racks kept whole: one worker before one rack before one data centre before
+//! the cell, as tight as the shape asks or tighter where that is free; good workers before
+//! suspects, one speed before several.
+
+use crate::core::placement::fleet;
+use crate::core::shape;
+
+/// The most workers looked at for a job that takes one worker.
+const MAX_PROBES: usize = 2048;
+
+/// A place: workers by their position in the fleet, with the number of tasks on each.
+pub type Place = Vec<(usize, u32)>;
+
+/// What is searched for.
+pub struct Ask<'a> {
+    /// The service that the workers must offer, where it matters.
+    pub service: Option<usize>,
+    /// The shape.
+    pub shape: shape::Shape,
+    /// The room it may take.
+    pub room: fleet::Room,
+    /// Whether slower workers are taken first.
+    pub slow_first: bool,
+    /// Workers that must not be taken.
+    pub skip: &'a dyn Fn(usize) -> bool,
+}
+
+impl Ask<'_> {
+    fn wanted(&self) -> i64 {
+        i64::try_from(self.shape.total()).unwrap_or(i64::MAX)
+    }
+
+    fn tasks_on(&self, fleet: &fleet::Fleet, worker: usize) -> u32 {
+        if !fleet.usable(worker) || !fleet.offers(worker, self.service) || (self.skip)(worker) {
+            return 0;
+        }
+        fleet.room(worker, self.room).tasks(self.shape.accelerators)
+    }
+}
+
+/// The best place for the shape, if there is one now.
+pub fn find(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
+    let tight = match ask.shape.tasks {
+        1 => shape::Adjacency::Worker,
+        _ => ask.shape.adjacency,
+    };
+    match tight {
+        shape::Adjacency::Worker => on_worker(fleet, ask),
+        shape::Adjacency::Rack => on_rack(fleet, ask),
+        shape::Adjacency::DataCenter => on_rack(fleet, ask).or_else(|| on_center(fleet, ask)),
+        shape::Adjacency::Cell => {
+            on_rack(fleet, ask).or_else(|| on_center(fleet, ask)).or_else(|| on_cell(fleet, ask))
+        }
+    }
+}
+
+/// The pools that offer the service, in the order in which they are tried.
+fn pools(fleet: &fleet::Fleet, ask: &Ask) -> Vec<usize> {
+    let offers = |pool: &fleet::Pool| {
+        ask.service.is_none_or(|service| pool.services.binary_search(&service).is_ok())
+    };
+    let mut pools: Vec<_> =
+        (0..fleet.pools.len()).filter(|&pool| offers(&fleet.pools[pool])).collect();
+    pools.sort_by_key(|&pool| {
+        let pool = &fleet.pools[pool];
+        let speed = i64::from(pool.speed);
+        (pool.trust, if ask.slow_first { speed } else { -speed })
+    });
+    pools
+}
+
+fn on_worker(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
+    let tasks = ask.shape.tasks;
+    for pool in pools(fleet, ask) {
+        let worker = fleet
+            .fitting(pool, ask.room, ask.wanted())
+            .take(MAX_PROBES)
+            .find(|&worker| ask.tasks_on(fleet, worker) >= tasks);
+        if let Some(worker) = worker {
+            return Some(vec![(worker, tasks)]);
+        }
+    }
+    None
+}
+
+fn on_rack(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
+    let mut best: Option<(i64, Place)> = None;
+    for center in 0..fleet.centers.len() {
+        for (room, rack) in fleet.racks_from(center, ask.room, ask.wanted()) {
+            if best.as_ref().is_some_and(|(least, _)| *least <= room) {
+                break;
+            }
+            if let Some(place) = fill_one_speed(fleet, ask, &fleet.racks[rack].workers) {
+                best = Some((room, place));
+                break;
+            }
+        }
+    }
+    best.map(|(_, place)| place)
+}
+
+fn on_center(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
+    let mut centers: Vec<_> = (0..fleet.centers.len())
+        .map(|center| (fleet.center_room(center, ask.room), center))
+        .filter(|(room, _)| *room >= ask.wanted())
+        .collect();
+    centers.sort_unstable();
+    centers.into_iter().find_map(|(_, center)| {
+        let workers = workers_of(fleet, ask, center);
+        fill_one_speed(fleet, ask, &workers)
+    })
+}
+
+fn on_cell(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
+    let mut centers: Vec<_> = (0..fleet.centers.len())
+        .map(|center| (fleet.center_room(center, ask.room), center))
+        .collect();
+    if centers.iter().map(|(room, _)| room).sum::<i64>() < ask.wanted() {
+        return None;
+    }
+    centers.sort_unstable_by(|a, b| b.cmp(a));
+    let workers: Vec<_> =
+        centers.into_iter().flat_map(|(_, center)| workers_of(fleet, ask, center)).collect();
+    fill_one_speed(fleet, ask, &workers)
+}
+
+/// The workers of a data centre, those of the emptiest racks first.
+fn workers_of(fleet: &fleet::Fleet, ask: &Ask, center: usize) -> Vec<usize> {
+    fleet
+        .racks_from(center, ask.room, 0)
+        .rev()
+        .flat_map(|(_, rack)| fleet.racks[rack].workers.iter().copied())
+        .collect()
+}
+
+/// Fills workers of one speed if they suffice, else of all speeds.
+fn fill_one_speed(fleet: &fleet::Fleet, ask: &Ask, workers: &[usize]) -> Option<Place> {
+    let mut able: Vec<_> = Vec::new();
+    let mut by_speed = std::collections::BTreeMap::<(fleet::Trust, u32), u64>::new();
+    for &worker in workers {
+        let tasks = ask.tasks_on(fleet, worker);
+        if tasks > 0 {
+            able.push((worker, tasks));
+            let state = &fleet.workers[worker];
+            *by_speed.entry((state.trust, state.speed)).or_default() += u64::from(tasks);
+        }
+    }
+    let wanted = u64::from(ask.shape.tasks);
+    if by_speed.values().sum::<u64>() < wanted {
+        return None;
+    }
+    let mut speeds: Vec<_> =
+        by_speed.iter().filter(|(_, tasks)| **tasks >= wanted).map(|(key, _)| *key).collect();
+    speeds.sort_by_key(|&(trust, speed)| {
+        (trust, if ask.slow_first { i64::from(speed) } else { -i64::from(speed) })
+    });
+    if let Some(&(trust, speed)) = speeds.first() {
+        able.retain(|&(worker, _)| {
+            fleet.workers[worker].trust == trust && fleet.workers[worker].speed == speed
+        });
+    }
+    Some(fill(ask.shape.tasks, able))
+}
+
+/// Spreads the tasks: full workers in the given order, and the rest where it fits best.
+fn fill(tasks: u32, able: Vec<(usize, u32)>) -> Place {
+    let mut place = Vec::new();
+    let mut left = tasks;
+    let mut rest = Vec::new();
+    for (worker, room) in able {
+        if room <= left {
+            left -= room;
+            place.push((worker, room));
+        } else {
+            rest.push((worker, room));
+        }
+        if left == 0 {
+            return place;
+        }
+    }
+    rest.sort_by_key(|&(worker, room)| (room, worker));
+    let tight = rest.iter().position(|(_, room)| *room >= left).unwrap_or(0);
+    if let Some(&(worker, _)) = rest.get(tight) {
+        place.push((worker, left));
+    }
+    place
+}
--- /dev/null
+++ b/src/core/placement/fleet.rs
@@ -0,0 +1,456 @@
+//! The workers as placement sees them: an arena with indices a pool, a rack and a data centre.
+//!
+//! Every change of a worker goes through [`Fleet::change`], which keeps the indices in step at a
+//! cost that depends on the worker's rack and not on the size of the fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::core::ids;
+use crate::core::ledger::job;
+use crate::macros;
+
+macros::small! {
+    /// Which part of a worker's capacity counts as room.
+    pub enum Room {
+        /// What nothing holds and no guarantee reserves.
+        Spare,
+        /// What nothing holds, reserved or not.
+        Free,
+        /// What no guarantee reserves and no unstoppable work holds.
+        Reservable,
+    }
+
+    /// A quantity of slots and accelerators.
+    #[derive(Default)]
+    pub struct Amount {
+        /// Slots; a task takes one slot and one connection.
+        pub slots: i64,
+        /// Accelerators.
+        pub accelerators: i64,
+    }
+
+    /// How much a worker is trusted, best first.
+    pub enum Trust {
+        /// Its outcomes give no reason for doubt.
+        Good,
+        /// It failed lately; it is taken where no good worker has room.
+        Suspect,
+        /// It is excluded but for probes.
+        Probation,
+    }
+}
+
+impl Amount {
+    /// What `tasks` tasks of `accelerators` accelerators each take.
+    pub fn of(tasks: u32, accelerators: u32) -> Self {
+        let tasks = i64::from(tasks);
+        Self { slots: tasks, accelerators: tasks * i64::from(accelerators) }
+    }
+
+    /// The sum.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            slots: self.slots + other.slots,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// The difference, which may be negative.
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            slots: self.slots - other.slots,
+            accelerators: self.accelerators - other.accelerators,
+        }
+    }
+
+    /// The smaller of each quantity.
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            slots: self.slots.min(other.slots),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// How many tasks of `accelerators` accelerators each it holds.
+    pub fn tasks(self, accelerators: u32) -> u32 {
+        let slots = self.slots.max(0);
+        let tasks = match accelerators {
+            0 => slots,
+            each => slots.min(self.accelerators.max(0) / i64::from(each)),
+        };
+        u32::try_from(tasks).unwrap_or(u32::MAX)
+    }
+
+    /// Whether neither quantity is negative.
+    pub fn covered(self) -> bool {
+        self.slots >= 0 && self.accelerators >= 0
+    }
+}
+
+impl Room {
+    /// Every kind of room, in the order of the indices.
+    pub const ALL: [Room; 3] = [Room::Spare, Room::Free, Room::Reservable];
+}
+
+/// The position of a worker in one index: its room in accelerators, whether its rack is whole,
+/// and the worker. The first entry from a wanted room on is the best fit.
+type Entry = (i64, bool, usize);
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// Its key.
+    pub key: ids::WorkerKey,
+    /// The lease epoch for new members.
+    pub epoch: ids::Epoch,
+    /// Whether it may get new work.
+    pub open: bool,
+    /// Whether it is known to the ledger and not lost.
+    pub alive: bool,
+    /// How much it is trusted.
+    pub trust: Trust,
+    /// Its speed in percent of the common worker.
+    pub speed: u32,
+    /// Its rack.
+    pub rack: usize,
+    /// Its pool.
+    pub pool: usize,
+    /// What it has.
+    pub total: Amount,
+    /// What placed, running and promised work takes.
+    pub held: Amount,
+    /// What unstoppable work outside of guarantees takes.
+    pub pinned: Amount,
+    /// What guarantees reserve.
+    pub reserved: Amount,
+    /// The jobs that hold something here.
+    pub jobs: Vec<ids::JobKey>,
+    entries: [Option<Entry>; 3],
+    counted: [i64; 3],
+    counted_total: i64,
+}
+
+/// Workers that offer the same services at the same speed and are equally trusted.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    /// The services offered, sorted.
+    pub services: Vec<usize>,
+    /// Speed in percent.
+    pub speed: u32,
+    /// Trust.
+    pub trust: Trust,
+    index: [BTreeSet<Entry>; 3],
+}
+
+/// A rack.
+#[derive(Clone, Debug)]
+pub struct Rack {
+    /// Its data centre.
+    pub center: usize,
+    /// Its workers, in the order of their first announcement.
+    pub workers: Vec<usize>,
+    /// Accelerators of its usable workers.
+    pub total: i64,
+    room: [i64; 3],
+}
+
+/// A data centre.
+#[derive(Clone, Debug, Default)]
+pub struct Center {
+    /// Its racks.
+    pub racks: Vec<usize>,
+    room: [i64; 3],
+    index: [BTreeSet<(i64, usize)>; 3],
+}
+
+/// All workers.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// The arena of workers; a lost worker keeps its place.
+    pub workers: Vec<Worker>,
+    /// The arena of racks.
+    pub racks: Vec<Rack>,
+    /// The arena of data centres.
+    pub centers: Vec<Center>,
+    /// The arena of pools.
+    pub pools: Vec<Pool>,
+    keys: BTreeMap<ids::WorkerKey, usize>,
+    services: BTreeMap<String, usize>,
+    center_names: BTreeMap<String, usize>,
+    rack_names: BTreeMap<(usize, String), usize>,
+    pool_names: BTreeMap<(Vec<usize>, u32, Trust), usize>,
+}
+
+impl Fleet {
+    /// The position of a worker in the arena.
+    pub fn find(&self, key: ids::WorkerKey) -> Option<usize> {
+        self.keys.get(&key).copied()
+    }
+
+    /// The number that stands for a service's name.
+    pub fn service(&mut self, name: &str) -> usize {
+        if let Some(&service) = self.services.get(name) {
+            return service;
+        }
+        let service = self.services.len();
+        self.services.insert(name.to_owned(), service);
+        service
+    }
+
+    /// Takes a worker in, or takes over what it announced anew. Returns its position.
+    pub fn announce(
+        &mut self,
+        key: ids::WorkerKey,
+        spec: &job::WorkerSpec,
+        epoch: ids::Epoch,
+        open: bool,
+    ) -> usize {
+        let index = match self.find(key) {
+            Some(index) => index,
+            None => self.insert(key, spec),
+        };
+        let rack = self.rack(&spec.center, &spec.rack);
+        self.move_rack(index, rack);
+        let services = self.service_set(&spec.services);
+        let slots = i64::from(spec.slots.min(spec.connections));
+        let total = Amount { slots, accelerators: i64::from(spec.accelerators) };
+        let trust = self.workers[index].trust;
+        let pool = self.pool(services, spec.speed, trust);
+        self.change(index, |worker| {
+            worker.epoch = epoch;
+            worker.open = open;
+            worker.alive = true;
+            worker.speed = spec.speed;
+            worker.pool = pool;
+            worker.total = total;
+        });
+        index
+    }
+
+    /// Sets how much a worker is trusted.
+    pub fn set_trust(&mut self, index: usize, trust: Trust) {
+        let pool = &self.pools[self.workers[index].pool];
+        let pool = self.pool(pool.services.clone(), pool.speed, trust);
+        self.change(index, |worker| {
+            worker.trust = trust;
+            worker.pool = pool;
+        });
+    }
+
+    /// Changes a worker and brings the indices up to date.
+    pub fn change(&mut self, index: usize, edit: impl FnOnce(&mut Worker)) {
+        let old_pool = self.workers[index].pool;
+        edit(&mut self.workers[index]);
+        if self.workers[index].pool != old_pool {
+            self.unindex(index, old_pool);
+        }
+        let flipped = self.recount(index);
+        self.refresh(index);
+        if flipped {
+            for peer in self.racks[self.workers[index].rack].workers.clone() {
+                self.refresh(peer);
+            }
+        }
+    }
+
+    /// Whether a worker may get new work or reservations.
+    pub fn usable(&self, index: usize) -> bool {
+        let worker = &self.workers[index];
+        worker.alive && worker.open && worker.trust != Trust::Probation
+    }
+
+    /// Whether a worker offers a service.
+    pub fn offers(&self, index: usize, service: Option<usize>) -> bool {
+        let services = &self.pools[self.workers[index].pool].services;
+        service.is_none_or(|service| services.binary_search(&service).is_ok())
+    }
+
+    /// The room on a worker, usable or not.
+    pub fn room(&self, index: usize, room: Room) -> Amount {
+        let worker = &self.workers[index];
+        let free = worker.total.minus(worker.held);
+        let unreserved = worker.total.minus(worker.pinned).minus(worker.reserved);
+        match room {
+            Room::Free => free,
+            Room::Reservable => unreserved,
+            Room::Spare => free.min(unreserved),
+        }
+    }
+
+    /// The usable workers of a pool with at least this room in accelerators, best fit first.
+    pub fn fitting(
+        &self,
+        pool: usize,
+        room: Room,
+        accelerators: i64,
+    ) -> impl Iterator<Item = usize> + '_ {
+        let from = (accelerators, false, 0);
+        self.pools[pool].index[room as usize].range(from..).map(|entry| entry.2)
+    }
+
+    /// The racks of a data centre with at least this room in accelerators, least room first.
+    pub fn racks_from(
+        &self,
+        center: usize,
+        room: Room,
+        accelerators: i64,
+    ) -> impl DoubleEndedIterator<Item = (i64, usize)> + '_ {
+        self.centers[center].index[room as usize].range((accelerators, 0)..).copied()
+    }
+
+    /// The room of a data centre in accelerators.
+    pub fn center_room(&self, center: usize, room: Room) -> i64 {
+        self.centers[center].room[room as usize]
+    }
+
+    /// The room of a rack in accelerators.
+    pub fn rack_room(&self, rack: usize, room: Room) -> i64 {
+        self.racks[rack].room[room as usize]
+    }
+
+    fn insert(&mut self, key: ids::WorkerKey, spec: &job::WorkerSpec) -> usize {
+        let index = self.workers.len();
+        let rack = self.rack(&spec.center, &spec.rack);
+        let pool = self.pool(Vec::new(), spec.speed, Trust::Good);
+        self.racks[rack].workers.push(index);
+        self.keys.insert(key, index);
+        self.workers.push(Worker {
+            key,
+            epoch: ids::Epoch(0),
+            open: false,
+            alive: false,
+            trust: Trust::Good,
+            speed: spec.speed,
+            rack,
+            pool,
+            total: Amount::default(),
+            held: Amount::default(),
+            pinned: Amount::default(),
+            reserved: Amount::default(),
+            jobs: Vec::new(),
+            entries: [None; 3],
+            counted: [0; 3],
+            counted_total: 0,
+        });
+        index
+    }
+
+    fn move_rack(&mut self, index: usize, rack: usize) {
+        let old = self.workers[index].rack;
+        if old == rack {
+            return;
+        }
+        self.change(index, |worker| worker.alive = false);
+        self.racks[old].workers.retain(|&peer| peer != index);
+        self.racks[rack].workers.push(index);
+        self.workers[index].rack = rack;
+    }
+
+    fn rack(&mut self, center: &str, rack: &str) -> usize {
+        let next = self.centers.len();
+        let center = *self.center_names.entry(center.to_owned()).or_insert(next);
+        if center == next {
+            self.centers.push(Center::default());
+        }
+        let next = self.racks.len();
+        let rack = *self.rack_names.entry((center, rack.to_owned())).or_insert(next);
+        if rack == next {
+            self.racks.push(Rack { center, workers: Vec::new(), total: 0, room: [0; 3] });
+            self.centers[center].racks.push(rack);
+            for index in &mut self.centers[center].index {
+                index.insert((0, rack));
+            }
+        }
+        rack
+    }
+
+    fn pool(&mut self, services: Vec<usize>, speed: u32, trust: Trust) -> usize {
+        let next = self.pools.len();
+        let name = (services.clone(), speed, trust);
+        let pool = *self.pool_names.entry(name).or_insert(next);
+        if pool == next {
+            self.pools.push(Pool { services, speed, trust, index: Default::default() });
+        }
+        pool
+    }
+
+    fn service_set(&mut self, names: &[String]) -> Vec<usize> {
+        let mut services: Vec<_> = names.iter().map(|name| self.service(name)).collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+
+    fn unindex(&mut self, index: usize, pool: usize) {
+        for room in Room::ALL {
+            if let Some(entry) = self.workers[index].entries[room as usize].take() {
+                self.pools[pool].index[room as usize].remove(&entry);
+            }
+        }
+    }
+
+    /// Brings the sums of the worker's rack and data centre up to date. Returns whether the rack
+    /// became or ceased to be whole in some kind of room.
+    fn recount(&mut self, index: usize) -> bool {
+        let usable = self.usable(index);
+        let rack_key = self.workers[index].rack;
+        let total = if usable { self.workers[index].total.accelerators } else { 0 };
+        let before = Room::ALL.map(|room| self.whole(rack_key, room));
+        let total_change = total - self.workers[index].counted_total;
+        self.workers[index].counted_total = total;
+        self.racks[rack_key].total += total_change;
+        for room in Room::ALL {
+            let now = if usable { self.indexed_room(index, room) } else { 0 };
+            let worker = &mut self.workers[index];
+            let change = now - worker.counted[room as usize];
+            worker.counted[room as usize] = now;
+            self.add_room(rack_key, room, change);
+        }
+        before != Room::ALL.map(|room| self.whole(rack_key, room))
+    }
+
+    fn add_room(&mut self, rack_key: usize, room: Room, change: i64) {
+        if change == 0 {
+            return;
+        }
+        let rack = &mut self.racks[rack_key];
+        let center = &mut self.centers[rack.center];
+        center.index[room as usize].remove(&(rack.room[room as usize], rack_key));
+        rack.room[room as usize] += change;
+        center.room[room as usize] += change;
+        center.index[room as usize].insert((rack.room[room as usize], rack_key));
+    }
+
+    fn whole(&self, rack: usize, room: Room) -> bool {
+        let rack = &self.racks[rack];
+        rack.room[room as usize] == rack.total
+    }
+
+    /// Room in accelerators; none where no slot is left.
+    fn indexed_room(&self, index: usize, room: Room) -> i64 {
+        let amount = self.room(index, room);
+        if amount.slots <= 0 { 0 } else { amount.accelerators.max(0) }
+    }
+
+    fn refresh(&mut self, index: usize) {
+        let usable = self.usable(index);
+        let pool = self.workers[index].pool;
+        for room in Room::ALL {
+            let whole = self.whole(self.workers[index].rack, room);
+            let fits = usable && self.room(index, room).slots > 0;
+            let entry = fits.then(|| (self.indexed_room(index, room), whole, index));
+            let old = self.workers[index].entries[room as usize];
+            if old == entry {
+                continue;
+            }
+            let tree = &mut self.pools[pool].index[room as usize];
+            if let Some(old) = old {
+                tree.remove(&old);
+            }
+            if let Some(entry) = entry {
+                tree.insert(entry);
+            }
+            self.workers[index].entries[room as usize] = entry;
+        }
+    }
+}
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -4,4 +4,8 @@
 //! answers with [`plan::Output`]s. A replica that begins to lead makes a new planner and feeds it
 //! the configuration, the workers, the running attempts and the queue, in this order.
 
+pub mod feasible;
+pub mod fit;
+pub mod fleet;
 pub mod plan;
+pub mod planner;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,5 +1,7 @@
 //! Fakes and helpers that several matters use.
 
+pub mod plans;
+
 use std::future;
 
 /// Runs a test body on the runtime that the daemons use.
