--- a/src/control/agent_session.rs
+++ b/src/control/agent_session.rs
@@ -37,8 +37,7 @@
     }
     sender.send(&agent::Down::Welcome { replica: 0 }).await;
     let shared = proposer.shared.clone();
-    let mut session =
-        Session { proposer, sender, incarnation, announced: None, worker: None };
+    let mut session = Session { proposer, sender, incarnation, announced: None, worker: None };
     loop {
         tokio::select! {
             message = receiver.receive() => match message {
@@ -61,10 +60,7 @@
     session.close(&shared);
 }
 
-async fn redirect(
-    sender: &stream::Sender<agent::Down>,
-    leader: Option<(ids::ReplicaKey, String)>,
-) {
+async fn redirect(sender: &stream::Sender<agent::Down>, leader: Option<(ids::ReplicaKey, String)>) {
     let leader = leader.map(|(_, addr)| addr);
     sender.send(&agent::Down::NotLeader { leader }).await;
 }
@@ -102,11 +98,7 @@
                 }
             }
             agent::Up::Prepared { attempt, ok, .. } => {
-                self.member(|worker| step::Input::Prepared {
-                    attempt: attempt.into(),
-                    worker,
-                    ok,
-                });
+                self.member(|worker| step::Input::Prepared { attempt: attempt.into(), worker, ok });
             }
             agent::Up::Started { attempt } => {
                 self.member(|worker| step::Input::Started { attempt: attempt.into(), worker });
@@ -143,9 +135,10 @@
         };
         let Some((key, epoch)) = registered else { return };
         let sender = self.sender.clone();
-        let opened = self.proposer.shared.with_lead(|lead, ledger, now| {
-            lead.open_session(ledger, key, epoch, sender, now)
-        });
+        let opened = self
+            .proposer
+            .shared
+            .with_lead(|lead, ledger, now| lead.open_session(ledger, key, epoch, sender, now));
         let Some(session) = opened else { return };
         self.worker = Some(Registered { key, epoch, session });
         event::control::WORKER_REGISTERED.log(format_args!("worker={key} epoch={epoch}"));
@@ -153,11 +146,7 @@
         self.sender.send(&registered).await;
     }
 
-    fn known(
-        &self,
-        spec: &job::WorkerSpec,
-        leaving: bool,
-    ) -> Option<(ids::WorkerKey, ids::Epoch)> {
+    fn known(&self, spec: &job::WorkerSpec, leaving: bool) -> Option<(ids::WorkerKey, ids::Epoch)> {
         let ledger = self.proposer.shared.ledger.borrow();
         let (key, worker) = ledger.roster.find(&spec.name)?;
         let same = worker.present
@@ -185,9 +174,10 @@
         if !self.proposer.log.leads() {
             return;
         }
-        let reply = self.proposer.shared.with_lead(|lead, _, now| {
-            lead.heartbeat(worker.key, epoch, revision, now)
-        });
+        let reply = self
+            .proposer
+            .shared
+            .with_lead(|lead, _, now| lead.heartbeat(worker.key, epoch, revision, now));
         let message = match reply {
             Some(grantor::Reply::Grant { epoch, length }) => {
                 agent::Down::Lease { sequence, epoch: epoch.0, length: length.0 }
--- a/src/control/entry_session.rs
+++ b/src/control/entry_session.rs
@@ -30,8 +30,7 @@
 ) {
     let peer = incoming.peer;
     let (sender, mut receiver) = incoming.split::<entry::Up, entry::Down>();
-    let Some(entry::Up::Hello { version, cell: named, entry, revision }) =
-        receiver.receive().await
+    let Some(entry::Up::Hello { version, cell: named, entry, revision }) = receiver.receive().await
     else {
         return;
     };
@@ -116,8 +115,11 @@
                     self.sender.send(&entry::Down::Reply { id, body }).await;
                     return;
                 }
-                let call =
-                    calls::Call { proposer: self.proposer.clone(), sender: self.sender.clone(), id };
+                let call = calls::Call {
+                    proposer: self.proposer.clone(),
+                    sender: self.sender.clone(),
+                    id,
+                };
                 let (run, handle) = future::abortable(call.run(trace, body));
                 handles.insert(id, handle);
                 pending.push(Box::pin(async move {
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -117,13 +117,7 @@
         lead
     }
 
-    fn recover(
-        &mut self,
-        ledger: &state::Ledger,
-        key: ids::JobKey,
-        job: &table::Job,
-        now: Moment,
-    ) {
+    fn recover(&mut self, ledger: &state::Ledger, key: ids::JobKey, job: &table::Job, now: Moment) {
         if !job.held() {
             return;
         }
--- a/src/control/leader_loop.rs
+++ b/src/control/leader_loop.rs
@@ -74,7 +74,9 @@
 
 fn carry_out(proposer: &proposer::Proposer, effect: lead::Effect, pending: &mut Pending) {
     match effect {
-        lead::Effect::Propose(command) => pending.push(Box::pin(propose(proposer.clone(), command))),
+        lead::Effect::Propose(command) => {
+            pending.push(Box::pin(propose(proposer.clone(), command)))
+        }
         lead::Effect::Send(sender, message) => {
             // A full queue means an agent that does not read: the message is sent again later.
             sender.try_send(&message);
--- a/src/control/machine_state.rs
+++ b/src/control/machine_state.rs
@@ -116,7 +116,8 @@
 
 impl machine::Machine for LedgerMachine {
     fn apply(&mut self, index: ids::LogIndex, entry: &[u8]) -> Vec<u8> {
-        let decoded = codec::decode::<wire_command::Entry>(entry).and_then(command::Entry::try_from);
+        let decoded =
+            codec::decode::<wire_command::Entry>(entry).and_then(command::Entry::try_from);
         let mut events = Vec::new();
         let outcome = match decoded {
             Ok(entry) => self.shared.ledger.borrow_mut().apply(index, entry, &mut events),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -73,8 +73,11 @@
         let server = stream::Server::bind(settings.listen, MAX_CONNECTIONS, rc::Rc::new(router))
             .await
             .map_err(|source| Error::Listen(settings.listen, source))?;
-        event::general::STARTED
-            .log(format_args!("role=control replica={} addr={}", settings.replica, server.addr()));
+        event::general::STARTED.log(format_args!(
+            "role=control replica={} addr={}",
+            settings.replica,
+            server.addr()
+        ));
         let leader_loop = leader_loop::LeaderLoop::start(proposer);
         Ok(Self { server, replica, leader_loop })
     }
--- a/src/control/order.rs
+++ b/src/control/order.rs
@@ -51,9 +51,7 @@
 /// What the runner is told of a member's end.
 pub fn member_result(result: agent::TaskResult) -> step::MemberResult {
     match result {
-        agent::TaskResult::Done(meta) => {
-            step::MemberResult::Done(meta.map(job::AnswerMeta::from))
-        }
+        agent::TaskResult::Done(meta) => step::MemberResult::Done(meta.map(job::AnswerMeta::from)),
         agent::TaskResult::Failed(detail) => step::MemberResult::Failed(detail),
         agent::TaskResult::Stopped => step::MemberResult::Stopped,
         agent::TaskResult::NotStarted => step::MemberResult::NotStarted,
--- a/src/control/report.rs
+++ b/src/control/report.rs
@@ -107,8 +107,7 @@
         voter: peer.voter,
         behind: committed.0.saturating_sub(peer.matched.0),
     });
-    let count =
-        |phase| ledger.table.jobs.values().filter(|job| job.phase == phase).count() as u64;
+    let count = |phase| ledger.table.jobs.values().filter(|job| job.phase == phase).count() as u64;
     entry::Status {
         leader,
         term: lead.term.0,
