Start logs, metrics and traces from one settings block

Cause: roles need one way to log, to count and to carry a trace; none stood. Ruled out: the exporter's own listener (each role has an HTTP server already) and tracing's formatter (logs are flexi_logger's, by the house style). Change: settings block `telemetry`; log lines as text or JSON; a recorder that is drained when observed, so it stays bounded unread; W3C traceparent with a span a hop, logged as event 103; check-settings as an operation. Before: no log, metric or trace. After: tests of the trace context's faults, of rendering and of the events' ranges pass. Conclusion: daemons call telemetry::start once; a second call changes nothing.

--- /dev/null
+++ b/src/ops/check_settings.rs
@@ -0,0 +1,25 @@
+//! Checks a settings file as the program would, without starting it.
+
+use std::path;
+
+use crate::settings;
+
+/// The program that a settings file is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Role {
+    /// `hemlockcleat-entry`.
+    Entry,
+    /// `hemlockcleat-control`.
+    Control,
+    /// `hemlockcleat-agent`.
+    Agent,
+}
+
+/// Reads and checks the file.
+pub fn exec(role: Role, file: &path::Path) -> Result<(), settings::Error> {
+    match role {
+        Role::Entry => settings::load::<settings::entry::Settings>(file).map(drop),
+        Role::Control => settings::load::<settings::control::Settings>(file).map(drop),
+        Role::Agent => settings::load::<settings::agent::Settings>(file).map(drop),
+    }
+}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,1 +1,3 @@
 //! The operations behind the subcommands.
+
+pub mod check_settings;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,6 +10,7 @@
 pub mod agent;
 pub mod control;
 pub mod entry;
+pub mod telemetry;
 
 quick_error! {
     /// Why settings can't be used.
--- a/src/telemetry/event/general.rs
+++ b/src/telemetry/event/general.rs
@@ -3,7 +3,7 @@
 use crate::telemetry::event::Event;
 
 /// Every event of this range.
-pub const ALL: &[Event] = &[STARTED, STOPPING, STOPPED];
+pub const ALL: &[Event] = &[STARTED, STOPPING, STOPPED, HOP, CONNECTION, REFUSED_SETTINGS, FAILED];
 
 /// A program has checked its settings and opened its ports.
 pub const STARTED: Event = Event::new(100, log::Level::Info, "started");
@@ -11,3 +11,11 @@
 pub const STOPPING: Event = Event::new(101, log::Level::Info, "stopping");
 /// A program has joined all it spawned and ends.
 pub const STOPPED: Event = Event::new(102, log::Level::Info, "stopped");
+/// A hop of a request has ended: a span of its trace.
+pub const HOP: Event = Event::new(103, log::Level::Info, "hop ended");
+/// A connection was refused or closed over what came on it.
+pub const CONNECTION: Event = Event::new(104, log::Level::Warn, "connection trouble");
+/// The settings can't be used; the program ends.
+pub const REFUSED_SETTINGS: Event = Event::new(105, log::Level::Error, "settings refused");
+/// The program can't go on and ends.
+pub const FAILED: Event = Event::new(106, log::Level::Error, "failed");
--- a/src/telemetry/event/mod.rs
+++ b/src/telemetry/event/mod.rs
@@ -5,6 +5,8 @@
 
 use std::fmt;
 
+use log::kv;
+
 pub mod agent;
 pub mod control;
 pub mod entry;
@@ -30,7 +32,54 @@
 
     /// Logs the event with details such as `worker=w3 epoch=7`.
     pub fn log(&self, details: fmt::Arguments<'_>) {
-        log::log!(target: "hemlockcleat", self.level, "E{} {}: {}", self.number, self.title, details);
+        log::log!(
+            target: "hemlockcleat",
+            self.level,
+            event = self.number;
+            "E{} {}: {details}", self.number, self.title,
+        );
+    }
+
+    /// Logs the event with fields that a JSON line keeps apart.
+    pub fn log_pairs(&self, pairs: &[(&str, kv::Value<'_>)]) {
+        if self.level > log::max_level() {
+            return;
+        }
+        let fields = Fields { number: self.number, pairs };
+        log::logger().log(
+            &log::Record::builder()
+                .target("hemlockcleat")
+                .level(self.level)
+                .key_values(&fields)
+                .args(format_args!("E{} {}: {}", self.number, self.title, Pairs(pairs)))
+                .build(),
+        );
+    }
+}
+
+/// The event's number, then its other fields.
+struct Fields<'a> {
+    number: u16,
+    pairs: &'a [(&'a str, kv::Value<'a>)],
+}
+
+impl kv::Source for Fields<'_> {
+    fn visit<'kvs>(&'kvs self, visitor: &mut dyn kv::VisitSource<'kvs>) -> Result<(), kv::Error> {
+        visitor.visit_pair(kv::Key::from_str("event"), kv::Value::from(self.number))?;
+        self.pairs.visit(visitor)
+    }
+}
+
+/// Fields as `key=value` text.
+struct Pairs<'a>(&'a [(&'a str, kv::Value<'a>)]);
+
+impl fmt::Display for Pairs<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (key, value)) in self.0.iter().enumerate() {
+            let space = if index == 0 { "" } else { " " };
+            write!(f, "{space}{key}={value}")?;
+        }
+        Ok(())
     }
 }
 
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,150 @@
+//! Metrics in Prometheus' text form. Names are constants here, each with a line of help.
+//!
+//! Count with `metrics::counter!(NAME, ..)` and `metrics::gauge!(NAME, ..)`; record spans of time
+//! with [`observe`], which also keeps the recorder's memory bounded where nobody reads it.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+/// Requests answered, by `outcome`: `done` or a verdict.
+pub const REQUESTS: &str = "hemlockcleat_requests_total";
+/// Time from a request's arrival at the entry to its answer.
+pub const REQUEST_SECONDS: &str = "hemlockcleat_request_seconds";
+/// HTTP responses, by `status`.
+pub const RESPONSES: &str = "hemlockcleat_http_responses_total";
+/// Requests that an entry refused on its own, by `reason`.
+pub const REFUSALS: &str = "hemlockcleat_refusals_total";
+/// Whether an entry has a stream to a leading replica: 1 or 0.
+pub const CONTROL_REACHABLE: &str = "hemlockcleat_control_reachable";
+/// The revision of the configuration in force.
+pub const REVISION: &str = "hemlockcleat_revision";
+/// Whether this replica leads: 1 or 0.
+pub const LEADER: &str = "hemlockcleat_leader";
+/// The term of this replica.
+pub const TERM: &str = "hemlockcleat_term";
+/// Entries committed.
+pub const COMMITTED: &str = "hemlockcleat_committed_entries";
+/// Time from a proposal to its commit.
+pub const COMMIT_SECONDS: &str = "hemlockcleat_commit_seconds";
+/// Time of one sync to disk.
+pub const SYNC_SECONDS: &str = "hemlockcleat_sync_seconds";
+/// Bytes of the log and snapshots in the data folder.
+pub const STORE_BYTES: &str = "hemlockcleat_store_bytes";
+/// Jobs that wait for a place.
+pub const QUEUED: &str = "hemlockcleat_jobs_queued";
+/// Jobs released to workers.
+pub const RUNNING: &str = "hemlockcleat_jobs_running";
+/// Workers whose agents hold a lease.
+pub const WORKERS: &str = "hemlockcleat_workers_alive";
+/// Time of one decision of the planner.
+pub const DECISION_SECONDS: &str = "hemlockcleat_decision_seconds";
+/// Accelerators that guarantees promise and that can't be packed now.
+pub const SHORTFALL: &str = "hemlockcleat_guarantee_shortfall_accelerators";
+/// Whether this agent holds a lease: 1 or 0.
+pub const LEASE: &str = "hemlockcleat_lease_held";
+/// Tasks running at the backend server beside this agent.
+pub const TASKS: &str = "hemlockcleat_tasks_running";
+/// Attempts that ended at this agent, by `result`.
+pub const ATTEMPTS: &str = "hemlockcleat_attempts_total";
+
+/// What a metric measures.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A count that only rises.
+    Counter,
+    /// A value that rises and falls.
+    Gauge,
+    /// A distribution of spans of time, in seconds.
+    Histogram,
+}
+
+/// A metric's name, kind and line of help.
+#[derive(Clone, Copy, Debug)]
+pub struct Metric {
+    /// The name as Prometheus sees it.
+    pub name: &'static str,
+    /// What it measures.
+    pub kind: Kind,
+    /// Help for operators.
+    pub help: &'static str,
+}
+
+const fn metric(name: &'static str, kind: Kind, help: &'static str) -> Metric {
+    Metric { name, kind, help }
+}
+
+/// Every metric.
+pub const ALL: &[Metric] = &[
+    metric(REQUESTS, Kind::Counter, "Requests answered, by outcome"),
+    metric(REQUEST_SECONDS, Kind::Histogram, "From a request's arrival to its answer"),
+    metric(RESPONSES, Kind::Counter, "HTTP responses, by status"),
+    metric(REFUSALS, Kind::Counter, "Requests the entry refused on its own, by reason"),
+    metric(CONTROL_REACHABLE, Kind::Gauge, "1 with a stream to a leading replica"),
+    metric(REVISION, Kind::Gauge, "Revision of the configuration in force"),
+    metric(LEADER, Kind::Gauge, "1 where this replica leads"),
+    metric(TERM, Kind::Gauge, "Term of this replica"),
+    metric(COMMITTED, Kind::Gauge, "Log entries committed"),
+    metric(COMMIT_SECONDS, Kind::Histogram, "From a proposal to its commit"),
+    metric(SYNC_SECONDS, Kind::Histogram, "One sync to disk"),
+    metric(STORE_BYTES, Kind::Gauge, "Bytes in the data folder"),
+    metric(QUEUED, Kind::Gauge, "Jobs that wait for a place"),
+    metric(RUNNING, Kind::Gauge, "Jobs released to workers"),
+    metric(WORKERS, Kind::Gauge, "Workers whose agents hold a lease"),
+    metric(DECISION_SECONDS, Kind::Histogram, "One decision of the planner"),
+    metric(SHORTFALL, Kind::Gauge, "Guaranteed accelerators that can't be packed now"),
+    metric(LEASE, Kind::Gauge, "1 where this agent holds a lease"),
+    metric(TASKS, Kind::Gauge, "Tasks running at the backend server"),
+    metric(ATTEMPTS, Kind::Counter, "Attempts ended at this agent, by result"),
+];
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const BUCKETS: &[f64] = &[
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10.0, 60.0, 600.0,
+];
+
+/// Observations between two drains of the recorder's buffers.
+const DRAIN_EVERY: u64 = 4096;
+
+static HANDLE: sync::OnceLock<Option<metrics_exporter_prometheus::PrometheusHandle>> =
+    sync::OnceLock::new();
+
+static OBSERVED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
+
+/// Installs the recorder. The first call in a process wins; later ones change nothing.
+pub fn start() {
+    HANDLE.get_or_init(install);
+}
+
+fn install() -> Option<metrics_exporter_prometheus::PrometheusHandle> {
+    let builder =
+        metrics_exporter_prometheus::PrometheusBuilder::new().set_buckets(BUCKETS).ok()?;
+    let handle = builder.install_recorder().ok()?;
+    for metric in ALL {
+        match metric.kind {
+            Kind::Counter => metrics::describe_counter!(metric.name, metric.help),
+            Kind::Gauge => metrics::describe_gauge!(metric.name, metric.help),
+            Kind::Histogram => metrics::describe_histogram!(metric.name, metric.help),
+        }
+    }
+    Some(handle)
+}
+
+/// Records one span of time under a histogram's name.
+pub fn observe(name: &'static str, span: time::Duration) {
+    metrics::histogram!(name).record(span.as_secs_f64());
+    let observed = OBSERVED.fetch_add(1, atomic::Ordering::Relaxed) + 1;
+    if observed.is_multiple_of(DRAIN_EVERY)
+        && let Some(Some(handle)) = HANDLE.get()
+    {
+        handle.run_upkeep();
+    }
+}
+
+/// All metrics of this process as Prometheus' text; empty where [`start`] was never called.
+pub fn render() -> String {
+    match HANDLE.get() {
+        Some(Some(handle)) => handle.render(),
+        _ => String::new(),
+    }
+}
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,3 +1,16 @@
 //! Logs, metrics and traces.
 
+use crate::settings::telemetry;
+
 pub mod event;
+pub mod log;
+pub mod metrics;
+pub mod trace;
+
+/// Starts the log, the recorder of metrics and the trace layer. The first call in a process wins;
+/// later ones change nothing, so that several roles can share a process.
+pub fn start(settings: &telemetry::Telemetry) {
+    log::start(&settings.log);
+    metrics::start();
+    trace::start(settings.spans);
+}
