Check settings whole and name the faulty field

Cause: settings refused only empty lists; clashes and doubles came through. Ruled out: checks written per program, which drift apart. Text that is not JSON reports '.'. Conclusion: entry and agent settings can call the same checks.

--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -1,9 +1,18 @@
 //! Settings of a control replica.
 
+use std::collections::BTreeSet;
 use std::net;
 use std::path;
 
 use crate::settings;
+use crate::settings::check;
+use crate::settings::telemetry;
+
+/// The most founding members of a group.
+const MAX_PEERS: usize = 7;
+
+/// The highest number of a replica.
+const MAX_REPLICA: u64 = 65_535;
 
 /// Settings of `hemlockcleat-control`.
 #[derive(Clone, Debug, serde::Deserialize)]
@@ -24,6 +33,9 @@
     pub http: net::SocketAddr,
     /// The founding members of the group.
     pub peers: Vec<Peer>,
+    /// Logs and traces.
+    #[serde(default)]
+    pub telemetry: telemetry::Telemetry,
 }
 
 /// A member of the control group.
@@ -38,11 +50,46 @@
 
 impl settings::Check for Settings {
     fn check(&self) -> Result<(), settings::Error> {
-        if self.replica == 0 {
-            return Err(settings::value_error("replica", "must be 1 or more"));
+        check::range("replica", self.replica, 1, MAX_REPLICA)?;
+        check::name("data_center", &self.data_center)?;
+        if self.data_folder.as_os_str().is_empty() {
+            return Err(settings::value_error("data_folder", "must not be empty"));
+        }
+        check::listeners(&[("listen", self.listen), ("http", self.http)])?;
+        self.check_peers()
+    }
+}
+
+impl Settings {
+    fn check_peers(&self) -> Result<(), settings::Error> {
+        if self.peers.len() > MAX_PEERS {
+            let detail = format!("must hold at most {MAX_PEERS} members");
+            return Err(settings::value_error("peers", detail));
+        }
+        let addrs: Vec<_> = self.peers.iter().map(|peer| peer.addr).collect();
+        check::endpoints("peers", &addrs)?;
+        let mut numbers = BTreeSet::new();
+        for (index, peer) in self.peers.iter().enumerate() {
+            let field = format!("peers[{index}].replica");
+            check::range(&field, peer.replica, 1, MAX_REPLICA)?;
+            if !numbers.insert(peer.replica) {
+                let detail = format!("replica {} stands here twice", peer.replica);
+                return Err(settings::value_error(field, detail));
+            }
         }
-        if self.peers.is_empty() {
-            return Err(settings::value_error("peers", "must name the founding members"));
+        self.check_own()
+    }
+
+    /// A replica that is a founding member has to listen where its peers look for it. One that
+    /// replaces a lost replica is not a founding member.
+    fn check_own(&self) -> Result<(), settings::Error> {
+        let Some(own) = self.peers.iter().find(|peer| peer.replica == self.replica) else {
+            return Ok(());
+        };
+        let everywhere = self.listen.ip().is_unspecified() && self.listen.port() == own.addr.port();
+        if !everywhere && self.listen != own.addr {
+            let detail = format!("must be {}, where peers look for this replica", own.addr);
+            return Err(settings::value_error("listen", detail));
         }
         Ok(())
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,6 +8,7 @@
 use quick_error::quick_error;
 
 pub mod agent;
+pub mod check;
 pub mod control;
 pub mod entry;
 pub mod telemetry;
@@ -43,12 +44,25 @@
     Error::Value(field.into(), detail.into())
 }
 
+/// The path of the whole text.
+const WHOLE: &str = ".";
+
+/// The library's path of text that breaks off before it can name a field.
+const NO_PATH: &str = "?";
+
+/// Where text breaks off, line and column in the detail say where.
+fn form_error(path: &serde_path_to_error::Path, error: &serde_json::Error) -> Error {
+    let path = path.to_string();
+    let field = if path == NO_PATH { WHOLE.to_owned() } else { path };
+    Error::Form(field, error.to_string())
+}
+
 /// Reads settings from JSON text and checks them.
 pub fn parse<T: serde::de::DeserializeOwned + Check>(text: &str) -> Result<T, Error> {
     let mut reader = serde_json::Deserializer::from_str(text);
     let settings: T = serde_path_to_error::deserialize(&mut reader)
-        .map_err(|error| Error::Form(error.path().to_string(), error.inner().to_string()))?;
-    reader.end().map_err(|error| Error::Form(".".to_owned(), error.to_string()))?;
+        .map_err(|error| form_error(error.path(), error.inner()))?;
+    reader.end().map_err(|error| Error::Form(WHOLE.to_owned(), error.to_string()))?;
     settings.check()?;
     Ok(settings)
 }
