--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,8 @@
 mod lease;
 mod limit;
 mod placement;
+mod settings;
 mod support;
+mod telemetry;
 mod verdict;
 mod wire;
