--- a/src/control/agent_session.rs
+++ b/src/control/agent_session.rs
@@ -8,7 +8,7 @@
 use crate::control::proposer;
 use crate::core::gang::step;
 use crate::core::ids;
-use crate::core::lease::grantor;
+use crate::core::lease;
 use crate::core::ledger::command;
 use crate::core::ledger::job;
 use crate::core::ledger::outcome;
@@ -16,12 +16,14 @@
 use crate::telemetry::event;
 use crate::wire::agent;
 use crate::wire::codec;
+use crate::wire::common;
 
 /// Serves one agent's stream until it ends or this replica no longer leads.
 pub async fn serve(proposer: proposer::Proposer, cell: ids::CellKey, incoming: stream::Incoming) {
     let peer = incoming.peer;
     let (sender, mut receiver) = incoming.split::<agent::Up, agent::Down>();
-    let Some(agent::Up::Hello { version, cell: named, incarnation, .. }) = receiver.receive().await
+    let Some(agent::Up::Hello { version, cell: named, incarnation, revision }) =
+        receiver.receive().await
     else {
         return;
     };
@@ -30,6 +32,7 @@
             .log(format_args!("peer={peer} version={version} cell={named}"));
         return;
     }
+    let mut held = ids::Revision(revision);
     let mut role = proposer.shared.role.subscribe();
     if let machine::Role::Follower { leader } = role.borrow_and_update().clone() {
         redirect(&sender, leader).await;
@@ -37,13 +40,16 @@
     }
     sender.send(&agent::Down::Welcome { replica: 0 }).await;
     let shared = proposer.shared.clone();
+    let mut revision = shared.revision.subscribe();
     let mut session = Session { proposer, sender, incarnation, announced: None, worker: None };
+    session.send_config(&mut held).await;
     loop {
         tokio::select! {
             message = receiver.receive() => match message {
                 Some(message) => session.take(message).await,
                 None => break,
             },
+            Ok(()) = revision.changed() => session.send_config(&mut held).await,
             changed = role.changed() => {
                 let role = role.borrow_and_update().clone();
                 if let machine::Role::Follower { leader } = role {
@@ -69,7 +75,6 @@
 #[derive(Clone, Copy)]
 struct Registered {
     key: ids::WorkerKey,
-    epoch: ids::Epoch,
     session: u64,
 }
 
@@ -118,6 +123,18 @@
         }
     }
 
+    /// Sends the configuration if it is newer than what the agent holds. Agents need no accounts.
+    async fn send_config(&self, held: &mut ids::Revision) {
+        let ledger = &self.proposer.shared.ledger;
+        if ledger.borrow().config.revision <= *held {
+            return;
+        }
+        let mut config = ledger.borrow().config.clone();
+        config.accounts.clear();
+        *held = config.revision;
+        self.sender.send(&agent::Down::Config(common::Config::from(config))).await;
+    }
+
     fn member(&self, input: impl FnOnce(ids::WorkerKey) -> step::Input) {
         let Some(worker) = self.worker else { return };
         self.proposer
@@ -140,7 +157,7 @@
             .shared
             .with_lead(|lead, ledger, now| lead.open_session(ledger, key, epoch, sender, now));
         let Some(session) = opened else { return };
-        self.worker = Some(Registered { key, epoch, session });
+        self.worker = Some(Registered { key, session });
         event::control::WORKER_REGISTERED.log(format_args!("worker={key} epoch={epoch}"));
         let registered = agent::Down::Registered { worker: key.0, epoch: epoch.0 };
         self.sender.send(&registered).await;
@@ -179,10 +196,10 @@
             .shared
             .with_lead(|lead, _, now| lead.heartbeat(worker.key, epoch, revision, now));
         let message = match reply {
-            Some(grantor::Reply::Grant { epoch, length }) => {
+            Some(lease::Reply::Grant { epoch, length }) => {
                 agent::Down::Lease { sequence, epoch: epoch.0, length: length.0 }
             }
-            Some(grantor::Reply::Fenced) => agent::Down::Fenced { epoch: epoch.0 },
+            Some(lease::Reply::Fenced) => agent::Down::Fenced { epoch: epoch.0 },
             None => return,
         };
         self.sender.send(&message).await;
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -159,7 +159,7 @@
         self.barrier().await?;
         let job = match self.find(account, key) {
             Ok(job) => job,
-            Err(reply) => return Ok(reply),
+            Err(refusal) => return Ok(entry::Reply::Refused(refusal.into())),
         };
         let wait = std_time::Duration::from_millis(wait).min(MAX_WAIT);
         if !wait.is_zero() && !self.has_ended(job) {
@@ -172,17 +172,16 @@
         Ok(job_reply(&self.proposer.shared.ledger.borrow(), job))
     }
 
-    fn find(&self, account: &str, key: &str) -> Result<ids::JobKey, entry::Reply> {
+    fn find(&self, account: &str, key: &str) -> Result<ids::JobKey, verdict::Refusal> {
         let ledger = self.proposer.shared.ledger.borrow();
         if let Some(job) = ledger.table.find(account, key) {
             return Ok(job);
         }
         if ledger.table.forgotten(account, key) {
             let reason = verdict::Reason::KeyExpired;
-            let refusal = verdict::Refusal::may_have_run(reason, key);
-            return Err(entry::Reply::Refused(refusal.into()));
+            return Err(verdict::Refusal::may_have_run(reason, key));
         }
-        Err(refused(verdict::Reason::Unknown, key))
+        Err(verdict::Refusal::not_run(verdict::Reason::Unknown, key))
     }
 
     fn has_ended(&self, job: ids::JobKey) -> bool {
@@ -195,7 +194,7 @@
         self.barrier().await?;
         let job = match self.find(account, key) {
             Ok(job) => job,
-            Err(reply) => return Ok(reply),
+            Err(refusal) => return Ok(entry::Reply::Refused(refusal.into())),
         };
         let mut offset = offset;
         loop {
--- /dev/null
+++ b/src/control/health.rs
@@ -0,0 +1,48 @@
+//! Health, readiness and metrics of a control replica over HTTP/1.1.
+
+use std::rc;
+
+use actix_http::StatusCode;
+use futures_util::future;
+
+use crate::control::machine;
+use crate::control::machine_state;
+use crate::net::http;
+use crate::telemetry::metrics;
+
+/// Answers `/healthz`, `/readyz` and `/metrics`.
+pub struct Health {
+    /// The replica's state.
+    pub shared: rc::Rc<machine_state::Shared>,
+}
+
+impl Health {
+    /// Ready means that a leader is known, here or elsewhere.
+    fn ready(&self) -> bool {
+        match &*self.shared.role.borrow() {
+            machine::Role::Leader(_) => true,
+            machine::Role::Follower { leader } => leader.is_some(),
+        }
+    }
+
+    fn answer(&self, path: &str) -> (StatusCode, String) {
+        match path {
+            "/healthz" => (StatusCode::OK, "ok\n".to_owned()),
+            "/readyz" if self.ready() => (StatusCode::OK, "ready\n".to_owned()),
+            "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "no leader known\n".to_owned()),
+            "/metrics" => (StatusCode::OK, metrics::render()),
+            _ => (StatusCode::NOT_FOUND, "not found\n".to_owned()),
+        }
+    }
+}
+
+impl http::Handler for Health {
+    fn handle(&self, request: http::Request) -> future::LocalBoxFuture<'static, http::Response> {
+        let (status, text) = self.answer(request.path());
+        let response = http::Response::build(status)
+            .content_type("text/plain; charset=utf-8")
+            .body(text)
+            .map_into_boxed_body();
+        Box::pin(future::ready(response))
+    }
+}
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -11,7 +11,7 @@
 use crate::core::gang::runner;
 use crate::core::gang::step;
 use crate::core::ids;
-use crate::core::lease::grantor;
+use crate::core::lease;
 use crate::core::ledger::command;
 use crate::core::ledger::job;
 use crate::core::ledger::outcome;
@@ -69,7 +69,7 @@
     pub term: ids::Term,
     planner: planner::Planner,
     runner: runner::Runner,
-    grantor: grantor::Grantor,
+    grantor: lease::Grantor,
     sessions: BTreeMap<ids::WorkerKey, Session>,
     losing: BTreeSet<ids::WorkerKey>,
     held: BTreeSet<ids::JobKey>,
@@ -89,7 +89,7 @@
             term,
             planner: planner::Planner::new(),
             runner: runner::Runner::default(),
-            grantor: grantor::Grantor::new(now.tick),
+            grantor: lease::Grantor::new(now.tick),
             sessions: BTreeMap::new(),
             losing: BTreeSet::new(),
             held: BTreeSet::new(),
@@ -283,7 +283,7 @@
         epoch: ids::Epoch,
         revision: ids::Revision,
         now: Moment,
-    ) -> grantor::Reply {
+    ) -> lease::Reply {
         if let Some(session) = self.sessions.get_mut(&key) {
             session.revision = revision;
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,6 +11,7 @@
 use quick_error::quick_error;
 
 use crate::core::ids;
+use crate::net::http;
 use crate::net::stream;
 use crate::settings;
 use crate::telemetry::event;
@@ -19,6 +20,7 @@
 pub mod calls;
 pub mod clock;
 pub mod entry_session;
+pub mod health;
 pub mod lead;
 pub mod leader_loop;
 pub mod machine;
@@ -31,6 +33,9 @@
 /// Connections at once: peers, entries and agents.
 const MAX_CONNECTIONS: usize = 8192;
 
+/// How long requests for metrics and health may take to end at a planned stop.
+const HTTP_GRACE: std::time::Duration = std::time::Duration::from_secs(1);
+
 quick_error! {
     /// Why a control replica could not start.
     #[derive(Debug)]
@@ -54,6 +59,7 @@
     server: stream::Server,
     replica: rc::Rc<replica::Replica>,
     leader_loop: leader_loop::LeaderLoop,
+    http: http::Server,
 }
 
 impl Control {
@@ -78,8 +84,12 @@
             settings.replica,
             server.addr()
         ));
+        let health = rc::Rc::new(health::Health { shared: proposer.shared.clone() });
+        let http = http::Server::bind(settings.http, http::Limits::default(), health)
+            .await
+            .map_err(|source| Error::Listen(settings.http, source.into()))?;
         let leader_loop = leader_loop::LeaderLoop::start(proposer);
-        Ok(Self { server, replica, leader_loop })
+        Ok(Self { server, replica, leader_loop, http })
     }
 
     /// The address it listens on.
@@ -87,6 +97,11 @@
         self.server.addr()
     }
 
+    /// The address of its metrics and health.
+    pub fn http_addr(&self) -> std::net::SocketAddr {
+        self.http.addr()
+    }
+
     /// The planned stop: hands leadership over, closes the sessions and joins all it spawned.
     pub async fn stop(self) {
         event::general::STOPPING.log(format_args!("role=control"));
@@ -95,6 +110,7 @@
         self.leader_loop.stop().await;
         self.server.stop().await;
         self.replica.stop().await;
+        self.http.stop(HTTP_GRACE).await;
         event::general::STOPPED.log(format_args!("role=control"));
     }
 }
--- /dev/null
+++ b/src/ops/daemon.rs
@@ -0,0 +1,46 @@
+//! What every daemon does: start, wait for the signal of a planned stop, stop.
+
+use std::error;
+use std::path;
+use std::process;
+
+use tokio::signal::unix;
+
+use crate::settings;
+use crate::settings::telemetry as telemetry_settings;
+use crate::telemetry;
+
+/// The exit code of a program whose settings were refused.
+pub const EXIT_SETTINGS: u8 = 2;
+
+/// Says on standard error why settings can't be used.
+pub fn refuse(file: &path::Path, error: &settings::Error) -> process::ExitCode {
+    eprintln!("error: {}: {error}", file.display());
+    process::ExitCode::from(EXIT_SETTINGS)
+}
+
+/// Runs a daemon on the runtime and turns its end into an exit code.
+pub fn run(
+    options: &telemetry_settings::Telemetry,
+    body: impl Future<Output = Result<(), Box<dyn error::Error>>> + 'static,
+) -> process::ExitCode {
+    telemetry::start(options);
+    match actix_rt::System::new().block_on(body) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+/// Resolves when the process is asked to stop, by SIGTERM or SIGINT.
+pub async fn stop_signal() -> std::io::Result<()> {
+    let mut term = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,3 +1,4 @@
 //! The operations behind the subcommands.
 
 pub mod check_settings;
+pub mod daemon;
