Test the ledger's rules and the steps of a gang

Tables over resent, stale and raced tickets, keys, attempts that end in every way, answers with holes, releases on closed workers and under old epochs, hours with an outage, and each message of a gang lost, doubled or late.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,8 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
+mod gang;
 mod lease;
+mod ledger;
 mod limit;
 mod placement;
 mod settings;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -4,6 +4,8 @@
 
 use std::future;
 
+pub mod ledger;
+
 /// Runs a test body on the runtime that the daemons use.
 pub fn run<T>(body: impl future::Future<Output = T>) -> T {
     actix_rt::System::new().block_on(body)
