Hold guarantees as a packing, reclaim lent work, and judge workers

Cause: the thin planner checked guarantees on tickets only; a guarantee could be filled up by anybody's work. Change: each guaranteed gang has a place of its own that is reserved, moved while unused, and lent to work that can be stopped; claims, reclaim by lost work with promised places, class order and ageing, learnt run times, kept places for large jobs, moves for starving gangs, health by outcomes.

--- /dev/null
+++ b/src/core/placement/backfill.rs
@@ -0,0 +1,178 @@
+//! Places kept for large jobs that can't start yet, and who may use them meanwhile.
+//!
+//! The first large jobs of the queue get a place in the future: where enough running work is
+//! expected to have ended first. Others start there only if nearly all runs of their kind end
+//! before that. Work of a class that goes first is not held up.
+
+use std::collections::BTreeSet;
+
+use crate::core::account;
+use crate::core::ids;
+use crate::core::placement::estimate;
+use crate::core::placement::fleet;
+use crate::core::placement::planner::Planner;
+use crate::core::placement::work;
+use crate::core::time;
+use crate::macros;
+
+/// Places kept at once.
+const MAX_FUTURES: usize = 2;
+
+/// The least time between two looks at the same future place.
+const REVIEW: time::Millis = time::Millis::from_secs(1);
+
+macros::plain! {
+    /// A place kept for a job that can't start yet.
+    pub struct Future {
+        /// The job.
+        pub job: ids::JobKey,
+        /// Its class.
+        pub class: account::Class,
+        /// When it is expected to start there.
+        pub at: time::Tick,
+        /// When this was worked out.
+        pub planned: time::Tick,
+        /// The workers.
+        pub workers: BTreeSet<usize>,
+    }
+}
+
+impl Future {
+    /// Whether the place has a part on this worker.
+    pub fn holds(&self, worker: usize) -> bool {
+        self.workers.contains(&worker)
+    }
+}
+
+impl Planner {
+    /// The kept places that a job must leave alone, because it might not end in time.
+    pub(super) fn futures_against(&self, now: time::Tick, work: &work::Work) -> Vec<&Future> {
+        let runs = &self.catalog.kinds[work.kind].runs;
+        let end = now + runs.quantile(estimate::LONG, work.declared, 100);
+        self.futures
+            .iter()
+            .filter(|future| future.job != work.key && future.class <= work.class)
+            .filter(|future| future.at < end)
+            .collect()
+    }
+
+    /// Keeps a place for a large job that was just found to have none.
+    pub(super) fn plan_future(&mut self, now: time::Tick, key: ids::JobKey) {
+        let Some(work) = self.jobs.get(&key) else { return };
+        let large = work.shape.tasks > 1 || work.shape.accelerators > 1;
+        if !large || work.class == account::Class::Idle {
+            return;
+        }
+        self.futures
+            .retain(|future| self.jobs.get(&future.job).is_some_and(|work| work.is_waiting()));
+        let old = self.futures.iter().position(|future| future.job == key);
+        if let Some(old) = old {
+            if now.0 < self.futures[old].planned.0 + REVIEW.0 {
+                return;
+            }
+            self.futures.remove(old);
+        }
+        if self.futures.len() >= MAX_FUTURES && !self.give_way(key) {
+            return;
+        }
+        if let Some(future) = self.earliest(now, key) {
+            self.futures.push(future);
+        }
+    }
+
+    /// Drops the last kept place if its job comes after this one.
+    fn give_way(&mut self, key: ids::JobKey) -> bool {
+        let work = &self.jobs[&key];
+        let last = self
+            .futures
+            .iter()
+            .enumerate()
+            .filter_map(|(index, future)| Some((index, self.jobs.get(&future.job)?)))
+            .max_by(|(_, a), (_, b)| self.comes_before(a, b));
+        match last {
+            Some((index, other)) if self.comes_before(work, other).is_lt() => {
+                self.futures.remove(index);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// The region in which the job could start first, as far as run times are known.
+    fn earliest(&self, now: time::Tick, key: ids::JobKey) -> Option<Future> {
+        let work = self.jobs.get(&key)?;
+        let best = self
+            .regions(work.shape.adjacency)
+            .into_iter()
+            .filter_map(|region| self.start_in(now, work, &region))
+            .min_by(|a, b| a.0.cmp(&b.0))?;
+        let (at, workers) = best;
+        Some(Future { job: key, class: work.class, at, planned: now, workers })
+    }
+
+    /// When the tasks of a job would all have room in a region, and on which workers.
+    fn start_in(
+        &self,
+        now: time::Tick,
+        work: &work::Work,
+        region: &[usize],
+    ) -> Option<(time::Tick, BTreeSet<usize>)> {
+        let mut openings: Vec<_> =
+            region.iter().flat_map(|&worker| self.openings(now, work, worker)).collect();
+        openings.sort_unstable();
+        let mut left = work.shape.tasks;
+        let mut workers = BTreeSet::new();
+        for (at, worker, tasks) in openings {
+            workers.insert(worker);
+            left = left.saturating_sub(tasks);
+            if left == 0 {
+                return Some((at, workers));
+            }
+        }
+        None
+    }
+
+    /// When a worker gets room for more tasks of a job: the time, the worker, and how many.
+    fn openings(
+        &self,
+        now: time::Tick,
+        work: &work::Work,
+        worker: usize,
+    ) -> Vec<(time::Tick, usize, u32)> {
+        let usable = self.fleet.usable(worker) && self.fleet.offers(worker, Some(work.service));
+        let taken = self.futures.iter().any(|future| future.holds(worker));
+        if !usable || taken {
+            return Vec::new();
+        }
+        let mut ends: Vec<_> = self.fleet.workers[worker]
+            .jobs
+            .iter()
+            .filter_map(|key| self.jobs.get(key))
+            .map(|running| (self.expected_end(now, running), running))
+            .collect();
+        ends.sort_by_key(|(end, running)| (*end, running.key));
+        let mut room = self.fleet.room(worker, fleet::Room::Free);
+        let mut tasks = room.tasks(work.shape.accelerators);
+        let mut openings = Vec::new();
+        if tasks > 0 {
+            openings.push((now, worker, tasks));
+        }
+        for (end, running) in ends {
+            for &(_, held) in running.place.iter().filter(|(other, _)| *other == worker) {
+                room = room.plus(fleet::Amount::of(held, running.shape.accelerators));
+            }
+            let more = room.tasks(work.shape.accelerators);
+            if more > tasks {
+                openings.push((end, worker, more - tasks));
+                tasks = more;
+            }
+        }
+        openings
+    }
+
+    fn expected_end(&self, now: time::Tick, work: &work::Work) -> time::Tick {
+        let runs = &self.catalog.kinds[work.kind].runs;
+        let (speed, elapsed) = (self.speed(&work.place), work.elapsed(now));
+        now + runs.remaining(estimate::USUAL, work.declared, speed, elapsed)
+    }
+}
--- /dev/null
+++ b/src/core/placement/decide.rs
@@ -0,0 +1,291 @@
+//! One pass over the queue, and the decision on one job.
+//!
+//! A job is tried in this order: its account's guarantee where nothing stands in the way, room
+//! that no guarantee reserves, reserved room if it can be stopped again, room that unused
+//! guarantees can be moved out of, its guarantee with others stopped, and last the places of work
+//! that yields to its class.
+
+use std::cmp;
+use std::collections::BTreeSet;
+
+use crate::core::account;
+use crate::core::ids;
+use crate::core::placement::fit;
+use crate::core::placement::fleet;
+use crate::core::placement::plan;
+use crate::core::placement::planner::Planner;
+use crate::core::placement::reserve;
+use crate::core::placement::work;
+use crate::core::time;
+use crate::core::verdict;
+
+/// How long deferred work waits before it counts as scheduled.
+const AGEING: time::Millis = time::Millis::from_secs(600);
+
+/// How long work that can't be stopped, of the classes that may wait, does so before it may use
+/// its account's guarantee.
+const CLAIM_AGE: time::Millis = time::Millis::from_secs(60);
+
+/// An account is over its share when it borrows this much of it, in percent.
+const OVER_SHARE: i128 = 125;
+
+/// The order in which groups are tried.
+type Rank = (account::Class, bool, time::Tick, usize);
+
+impl Planner {
+    /// Tries the waiting jobs of these groups, in the order of the queue.
+    pub(super) fn pass(
+        &mut self,
+        now: time::Tick,
+        groups: impl IntoIterator<Item = usize>,
+        out: &mut Vec<plan::Output>,
+    ) {
+        let mut ranks: BTreeSet<_> =
+            groups.into_iter().filter_map(|group| self.rank(now, group)).collect();
+        while let Some((class, _, _, group)) = ranks.pop_first() {
+            if class == account::Class::Idle && self.queue.pending() > 0 {
+                return;
+            }
+            let Some(key) = self.queue.group(group).head() else { continue };
+            if self.decide(now, key, out) {
+                ranks.extend(self.rank(now, group));
+            } else {
+                self.queue.block(group, self.version);
+                self.plan_future(now, key);
+            }
+        }
+    }
+
+    fn rank(&self, now: time::Tick, group: usize) -> Option<Rank> {
+        let state = self.queue.group(group);
+        let work = self.jobs.get(&state.head()?)?;
+        let aged = state.class == account::Class::Deferred && now - work.submitted >= AGEING;
+        let class = if aged { account::Class::Scheduled } else { state.class };
+        Some((class, self.over_share(state.account), self.latest_start(work), group))
+    }
+
+    /// The last moment at which the job can start and still meet its deadline.
+    fn latest_start(&self, work: &work::Work) -> time::Tick {
+        let runs = &self.catalog.kinds[work.kind].runs;
+        let span = runs.quantile(super::estimate::USUAL, work.declared, 100);
+        time::Tick(work.deadline.0.saturating_sub(span.0))
+    }
+
+    /// Whether an account borrows more than its weight entitles it to.
+    fn over_share(&self, account: usize) -> bool {
+        let state = &self.catalog.accounts[account];
+        if state.borrowed <= 0 {
+            return false;
+        }
+        let all: i64 = self.catalog.accounts.iter().map(|account| account.borrowed).sum();
+        let weight = i128::from(state.weight.max(1)) * OVER_SHARE;
+        i128::from(state.borrowed) * i128::from(self.catalog.active_weight()) * 100
+            > i128::from(all) * weight
+    }
+
+    /// Gives the job a place, a promise or a refusal; returns whether it did.
+    fn decide(&mut self, now: time::Tick, key: ids::JobKey, out: &mut Vec<plan::Output>) -> bool {
+        let Some(work) = self.jobs.get(&key).cloned() else { return true };
+        let claims = self.may_claim(now, &work);
+        let stoppable = self.catalog.kinds[work.kind].stoppable();
+        claims && self.claim_exact(&work, out)
+            || stoppable && self.probe(now, &work, out)
+            || self.spare(now, &work, stoppable, out)
+            || claims && self.claim_part(&work, out)
+            || stoppable && self.borrow(now, &work, out)
+            || !stoppable && self.make_room(now, &work, out)
+            || claims && self.reclaim(now, &work, out)
+            || self.displace(now, &work, stoppable, out)
+            || self.refuse(now, &work, out)
+    }
+
+    fn may_claim(&self, now: time::Tick, work: &work::Work) -> bool {
+        match work.class {
+            account::Class::Urgent | account::Class::Scheduled => true,
+            account::Class::Deferred | account::Class::Idle => {
+                let stoppable = self.catalog.kinds[work.kind].stoppable();
+                !stoppable && now - work.submitted >= CLAIM_AGE
+            }
+        }
+    }
+
+    /// Searches for a place; workers on which the job failed come last.
+    pub(super) fn search(
+        &self,
+        now: time::Tick,
+        work: &work::Work,
+        room: fleet::Room,
+    ) -> Option<fit::Place> {
+        let futures = self.futures_against(now, work);
+        let reserved = |worker: usize| futures.iter().any(|future| future.holds(worker));
+        let avoided =
+            |worker: usize| reserved(worker) || self.health.failed_there(work.key, worker);
+        let slow_first = work.class == account::Class::Idle;
+        let ask = |skip| fit::Ask {
+            service: Some(work.service),
+            shape: work.shape,
+            room,
+            slow_first,
+            skip,
+        };
+        let found = fit::find(&self.fleet, &ask(&avoided));
+        if found.is_some() || !self.health.has_failed(work.key) {
+            return found;
+        }
+        fit::find(&self.fleet, &ask(&reserved))
+    }
+
+    /// A unit of just this shape, where nothing stands in the way or it can move to free room.
+    fn claim_exact(&mut self, work: &work::Work, out: &mut Vec<plan::Output>) -> bool {
+        let exact = |unit: &reserve::Unit| unit.shape == work.shape && unit.users == 0;
+        let units: Vec<_> = self
+            .reserve
+            .of(work.account)
+            .filter(|(_, unit)| exact(unit) && !unit.retired)
+            .map(|(key, _)| key)
+            .collect();
+        let Some(&first) = units.first() else { return false };
+        for unit in units {
+            if self.claim_unit(work, unit, out) {
+                return true;
+            }
+        }
+        let skip = |worker: usize| self.health.failed_there(work.key, worker);
+        let ask = fit::Ask {
+            service: Some(work.service),
+            shape: work.shape,
+            room: fleet::Room::Spare,
+            slow_first: false,
+            skip: &skip,
+        };
+        let Some(place) = fit::find(&self.fleet, &ask) else { return false };
+        self.reserve.move_to(&mut self.fleet, first, &place);
+        self.version += 1;
+        self.claim_unit(work, first, out)
+    }
+
+    /// Units of other shapes that have room for the job, where nothing stands in the way.
+    fn claim_part(&mut self, work: &work::Work, out: &mut Vec<plan::Output>) -> bool {
+        let mut units: Vec<_> =
+            self.reserve.of(work.account).map(|(key, unit)| (unit.shape.total(), key)).collect();
+        units.sort_unstable();
+        if units.into_iter().any(|(_, unit)| self.claim_unit(work, unit, out)) {
+            return true;
+        }
+        let picks = self.reserve.picks_across(&self.fleet, work.account, work.service, work.shape);
+        picks.is_some_and(|picks| self.claim_picks(work, picks, out))
+    }
+
+    fn claim_unit(
+        &mut self,
+        work: &work::Work,
+        unit: reserve::UnitKey,
+        out: &mut Vec<plan::Output>,
+    ) -> bool {
+        let picks = self.reserve.picks(&self.fleet, unit, work.service, work.shape);
+        picks.is_some_and(|picks| self.claim_picks(work, picks, out))
+    }
+
+    fn claim_picks(
+        &mut self,
+        work: &work::Work,
+        picks: Vec<reserve::Pick>,
+        out: &mut Vec<plan::Output>,
+    ) -> bool {
+        let place = self.reserve.place(&picks);
+        let free = place.iter().all(|&(worker, tasks)| {
+            let room = self.fleet.room(worker, fleet::Room::Free);
+            room.tasks(work.shape.accelerators) >= tasks
+        });
+        if free {
+            self.grant(work.key, place, work::Hold::Claim(picks), BTreeSet::new(), out);
+        }
+        free
+    }
+
+    /// Repeatable work probes an excluded worker that is due.
+    fn probe(&mut self, now: time::Tick, work: &work::Work, out: &mut Vec<plan::Output>) -> bool {
+        if work.shape.tasks > 1 || !self.catalog.kinds[work.kind].repeatable {
+            return false;
+        }
+        let urgent = work.class == account::Class::Urgent;
+        let fits = |worker: &usize| {
+            let state = &self.fleet.workers[*worker];
+            let room = self.fleet.room(*worker, fleet::Room::Free);
+            state.alive
+                && state.open
+                && self.fleet.offers(*worker, Some(work.service))
+                && room.tasks(work.shape.accelerators) > 0
+        };
+        let Some(worker) = self.health.probes(now, urgent).find(fits) else { return false };
+        self.health.probing(worker, work.key);
+        self.grant(work.key, vec![(worker, 1)], work::Hold::Lent, BTreeSet::new(), out);
+        true
+    }
+
+    /// Room that nothing holds and no guarantee reserves.
+    fn spare(
+        &mut self,
+        now: time::Tick,
+        work: &work::Work,
+        stoppable: bool,
+        out: &mut Vec<plan::Output>,
+    ) -> bool {
+        let Some(place) = self.search(now, work, fleet::Room::Spare) else { return false };
+        let hold = if stoppable { work::Hold::Lent } else { work::Hold::Pinned };
+        self.grant(work.key, place, hold, BTreeSet::new(), out);
+        true
+    }
+
+    /// Free room, reserved or not, for work that can be stopped.
+    fn borrow(&mut self, now: time::Tick, work: &work::Work, out: &mut Vec<plan::Output>) -> bool {
+        let Some(place) = self.search(now, work, fleet::Room::Free) else { return false };
+        self.grant(work.key, place, work::Hold::Lent, BTreeSet::new(), out);
+        true
+    }
+
+    /// Free room that unused guarantees can be moved out of, for work that can't be stopped.
+    fn make_room(
+        &mut self,
+        now: time::Tick,
+        work: &work::Work,
+        out: &mut Vec<plan::Output>,
+    ) -> bool {
+        let Some(place) = self.search(now, work, fleet::Room::Free) else { return false };
+        let cleared = self.reserve.clear_way(&mut self.fleet, &place, work.shape.accelerators);
+        if cleared {
+            self.grant(work.key, place, work::Hold::Pinned, BTreeSet::new(), out);
+        }
+        cleared
+    }
+
+    fn refuse(&mut self, now: time::Tick, work: &work::Work, out: &mut Vec<plan::Output>) -> bool {
+        if !self.settled(now) || self.could_ever_fit(work) {
+            return false;
+        }
+        self.queue.remove(work);
+        self.catalog.accounts[work.account].waiting -= 1;
+        self.jobs.remove(&work.key);
+        self.health.forget(work.key);
+        let detail = format!("no set of known workers could hold {}", work.shape);
+        let refusal = verdict::Refusal::not_run(verdict::Reason::Unplaceable, detail);
+        out.push(plan::Output::Refuse { job: work.key, refusal });
+        true
+    }
+
+    fn could_ever_fit(&self, work: &work::Work) -> bool {
+        let ask = fit::Ask {
+            service: Some(work.service),
+            shape: work.shape,
+            room: fleet::Room::Free,
+            slow_first: false,
+            skip: &|_| false,
+        };
+        fit::find(&self.empty, &ask).is_some()
+    }
+
+    /// The order in which two jobs of one class stand to each other.
+    pub(super) fn comes_before(&self, a: &work::Work, b: &work::Work) -> cmp::Ordering {
+        (a.class, self.latest_start(a), a.key).cmp(&(b.class, self.latest_start(b), b.key))
+    }
+}
--- a/src/core/placement/fleet.rs
+++ b/src/core/placement/fleet.rs
@@ -18,6 +18,9 @@
         Free,
         /// What no guarantee reserves and no unstoppable work holds.
         Reservable,
+        /// What nothing holds, or work of the class idle holds that can be stopped, or work holds
+        /// that is being stopped.
+        OverIdle,
     }
 
     /// A quantity of slots and accelerators.
@@ -63,6 +66,11 @@
         }
     }
 
+    /// The quantity with its sign kept (1) or turned (-1).
+    pub fn times(self, sign: i64) -> Self {
+        Self { slots: self.slots * sign, accelerators: self.accelerators * sign }
+    }
+
     /// The smaller of each quantity.
     pub fn min(self, other: Self) -> Self {
         Self {
@@ -87,9 +95,12 @@
     }
 }
 
+/// How many kinds of room there are.
+const ROOMS: usize = 4;
+
 impl Room {
     /// Every kind of room, in the order of the indices.
-    pub const ALL: [Room; 3] = [Room::Spare, Room::Free, Room::Reservable];
+    pub const ALL: [Room; ROOMS] = [Room::Spare, Room::Free, Room::Reservable, Room::OverIdle];
 }
 
 /// The position of a worker in one index: its room in accelerators, whether its rack is whole,
@@ -123,10 +134,14 @@
     pub pinned: Amount,
     /// What guarantees reserve.
     pub reserved: Amount,
+    /// What stoppable work of the class idle takes outside of guarantees.
+    pub idle: Amount,
+    /// What work takes that is being stopped.
+    pub stopping: Amount,
     /// The jobs that hold something here.
     pub jobs: Vec<ids::JobKey>,
-    entries: [Option<Entry>; 3],
-    counted: [i64; 3],
+    entries: [Option<Entry>; ROOMS],
+    counted: [i64; ROOMS],
     counted_total: i64,
 }
 
@@ -139,7 +154,7 @@
     pub speed: u32,
     /// Trust.
     pub trust: Trust,
-    index: [BTreeSet<Entry>; 3],
+    index: [BTreeSet<Entry>; ROOMS],
 }
 
 /// A rack.
@@ -151,7 +166,7 @@
     pub workers: Vec<usize>,
     /// Accelerators of its usable workers.
     pub total: i64,
-    room: [i64; 3],
+    room: [i64; ROOMS],
 }
 
 /// A data centre.
@@ -159,8 +174,8 @@
 pub struct Center {
     /// Its racks.
     pub racks: Vec<usize>,
-    room: [i64; 3],
-    index: [BTreeSet<(i64, usize)>; 3],
+    room: [i64; ROOMS],
+    index: [BTreeSet<(i64, usize)>; ROOMS],
 }
 
 /// All workers.
@@ -274,6 +289,7 @@
             Room::Free => free,
             Room::Reservable => unreserved,
             Room::Spare => free.min(unreserved),
+            Room::OverIdle => free.plus(worker.idle).plus(worker.stopping),
         }
     }
 
@@ -327,9 +343,11 @@
             held: Amount::default(),
             pinned: Amount::default(),
             reserved: Amount::default(),
+            idle: Amount::default(),
+            stopping: Amount::default(),
             jobs: Vec::new(),
-            entries: [None; 3],
-            counted: [0; 3],
+            entries: [None; ROOMS],
+            counted: [0; ROOMS],
             counted_total: 0,
         });
         index
@@ -355,7 +373,7 @@
         let next = self.racks.len();
         let rack = *self.rack_names.entry((center, rack.to_owned())).or_insert(next);
         if rack == next {
-            self.racks.push(Rack { center, workers: Vec::new(), total: 0, room: [0; 3] });
+            self.racks.push(Rack { center, workers: Vec::new(), total: 0, room: [0; ROOMS] });
             self.centers[center].racks.push(rack);
             for index in &mut self.centers[center].index {
                 index.insert((0, rack));
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -4,8 +4,19 @@
 //! answers with [`plan::Output`]s. A replica that begins to lead makes a new planner and feeds it
 //! the configuration, the workers, the running attempts and the queue, in this order.
 
+mod adopt;
+mod backfill;
+mod catalog;
+mod decide;
+mod displace;
+mod estimate;
 pub mod feasible;
 pub mod fit;
 pub mod fleet;
+mod grant;
+mod health;
 pub mod plan;
 pub mod planner;
+mod queue;
+mod reserve;
+mod work;
--- a/src/core/placement/plan.rs
+++ b/src/core/placement/plan.rs
@@ -105,6 +105,22 @@
     }
 }
 
+macros::plain! {
+    /// A guaranteed gang and the place that is kept for it, for operators and for checks.
+    pub struct Packed {
+        /// The client account.
+        pub account: String,
+        /// The guaranteed shape.
+        pub shape: shape::Shape,
+        /// Whether no ticket guarantees it any more; it goes with its last claim.
+        pub retired: bool,
+        /// The workers and the tasks that each has room for; empty while it can't be packed.
+        pub cells: Vec<(ids::WorkerKey, u32)>,
+        /// The jobs that run, or will run, in it.
+        pub claims: Vec<ids::JobKey>,
+    }
+}
+
 macros::small! {
     /// How a run ended.
     pub enum RunResult {
--- /dev/null
+++ b/src/core/placement/queue.rs
@@ -0,0 +1,104 @@
+//! The waiting jobs, in groups of equals.
+//!
+//! Jobs of one account, kind, class and shape form a group and are tried in the order of their
+//! deadlines. When the first of a group finds no place, none of the group does: the group is
+//! blocked until capacity comes free. So a long queue costs as little as a short one.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::core::account;
+use crate::core::ids;
+use crate::core::placement::work;
+use crate::core::shape;
+use crate::core::time;
+
+/// What the jobs of a group have in common.
+type Name = (account::Class, usize, usize, shape::Shape);
+
+/// A group of equal waiting jobs.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// The class.
+    pub class: account::Class,
+    /// The account.
+    pub account: usize,
+    /// The state of the fleet at which the group last found no place; 0 if it was not tried.
+    pub blocked: u64,
+    waiting: BTreeSet<(time::Tick, ids::JobKey)>,
+}
+
+/// All waiting jobs.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    groups: Vec<Group>,
+    names: BTreeMap<Name, usize>,
+    active: BTreeSet<usize>,
+    counts: [usize; 4],
+}
+
+impl Group {
+    /// The job that is tried first.
+    pub fn head(&self) -> Option<ids::JobKey> {
+        self.waiting.first().map(|(_, key)| *key)
+    }
+
+    /// Whether no job waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
+
+impl Queue {
+    /// Adds a job and returns its group.
+    pub fn insert(&mut self, work: &work::Work) -> usize {
+        let name = (work.class, work.kind, work.account, work.shape);
+        let next = self.groups.len();
+        let index = *self.names.entry(name).or_insert(next);
+        if index == next {
+            self.groups.push(Group {
+                class: work.class,
+                account: work.account,
+                blocked: 0,
+                waiting: BTreeSet::new(),
+            });
+        }
+        if self.groups[index].waiting.insert((work.deadline, work.key)) {
+            self.counts[work.class as usize] += 1;
+        }
+        self.active.insert(index);
+        index
+    }
+
+    /// Removes a job, if it waits here.
+    pub fn remove(&mut self, work: &work::Work) {
+        let name = (work.class, work.kind, work.account, work.shape);
+        let Some(&index) = self.names.get(&name) else { return };
+        if self.groups[index].waiting.remove(&(work.deadline, work.key)) {
+            self.counts[work.class as usize] -= 1;
+        }
+        if self.groups[index].is_empty() {
+            self.active.remove(&index);
+            self.groups[index].blocked = 0;
+        }
+    }
+
+    /// A group.
+    pub fn group(&self, index: usize) -> &Group {
+        &self.groups[index]
+    }
+
+    /// Notes at which state of the fleet a group found no place.
+    pub fn block(&mut self, index: usize, version: u64) {
+        self.groups[index].blocked = version;
+    }
+
+    /// The groups in which jobs wait.
+    pub fn active(&self) -> impl Iterator<Item = usize> + '_ {
+        self.active.iter().copied()
+    }
+
+    /// How many jobs wait that are not of the class idle.
+    pub fn pending(&self) -> usize {
+        self.counts[..account::Class::Idle as usize].iter().sum()
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod limit;
 mod placement;
+mod placement_random;
 mod support;
 mod verdict;
 mod wire;
