--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod limit;
 mod placement;
 mod settings;
+mod placement_random;
 mod support;
 mod telemetry;
 mod verdict;
