Let a control replica be reached at another address than it listens on

Cause: behind an address translation or a relay, peers look for a replica elsewhere than it listens; the check of its own address refused that. Ruled out: dropping the check, which finds a replica that listens where its peers don't look. Change: the optional setting advertise takes listen's place in the check. Before: such settings were refused. After: accepted with advertise, and a wrong advertise is refused by name. Conclusion: the check stays as strict for everyone else.

--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -29,6 +29,9 @@
     pub data_folder: path::PathBuf,
     /// The address for peers, entries and agents.
     pub listen: net::SocketAddr,
+    /// The address at which others reach it, where that is not the one it listens on.
+    #[serde(default)]
+    pub advertise: Option<net::SocketAddr>,
     /// The address for metrics and health.
     pub http: net::SocketAddr,
     /// The founding members of the group.
@@ -80,15 +83,21 @@
         self.check_own()
     }
 
-    /// A replica that is a founding member has to listen where its peers look for it. One that
-    /// replaces a lost replica is not a founding member.
+    /// A replica that is a founding member has to be reached where its peers look for it. One
+    /// that replaces a lost replica is not a founding member.
     fn check_own(&self) -> Result<(), settings::Error> {
         let Some(own) = self.peers.iter().find(|peer| peer.replica == self.replica) else {
             return Ok(());
         };
+        let detail = format!("must be {}, where peers look for this replica", own.addr);
+        if let Some(advertise) = self.advertise {
+            if advertise != own.addr {
+                return Err(settings::value_error("advertise", detail));
+            }
+            return Ok(());
+        }
         let everywhere = self.listen.ip().is_unspecified() && self.listen.port() == own.addr.port();
         if !everywhere && self.listen != own.addr {
-            let detail = format!("must be {}, where peers look for this replica", own.addr);
             return Err(settings::value_error("listen", detail));
         }
         Ok(())
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -48,6 +48,10 @@
     assert_eq!(settings.telemetry.log.format, telemetry::Format::Json);
     let text = with(control_settings(), "/listen", json!("0.0.0.0:7000"));
     settings::parse::<control::Settings>(&text).expect("listening on every address");
+    let mut behind = control_settings();
+    behind["advertise"] = json!("10.0.1.10:7000");
+    let text = with(behind, "/listen", json!("192.168.0.1:7002"));
+    settings::parse::<control::Settings>(&text).expect("reached at another address");
     let text = with(control_settings(), "/replica", json!(4));
     settings::parse::<control::Settings>(&text).expect("a replica that replaces a founding one");
 }
@@ -62,6 +66,7 @@
 #[case::folder_empty("/data_folder", json!(""), "data_folder: must not be empty")]
 #[case::listen_name("/listen", json!("localhost:7000"), "listen: invalid socket address")]
 #[case::listen_other("/listen", json!("10.0.1.11:7000"), "listen: must be 10.0.1.10:7000")]
+#[case::advertise("/advertise", json!("10.0.9.9:7000"), "advertise: must be 10.0.1.10:7000")]
 #[case::http_clash("/http", json!("10.0.1.10:7000"), "http: 10.0.1.10:7000 clashes with listen")]
 #[case::http_clash_any("/http", json!("0.0.0.0:7000"), "http: 0.0.0.0:7000 clashes with listen")]
 #[case::peers_empty("/peers", json!([]), "peers: must hold 1 to 16 addresses")]
