--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,7 +1,11 @@
 //! Fakes and helpers that several matters use.
 
+pub mod plans;
+
 use std::future;
 
+pub mod ledger;
+
 /// Runs a test body on the runtime that the daemons use.
 pub fn run<T>(body: impl future::Future<Output = T>) -> T {
     actix_rt::System::new().block_on(body)
