--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod settings;
 mod placement_random;
+mod settings_examples;
 mod support;
 mod telemetry;
 mod verdict;
