Add the agent and the stand-in backend server

Cause: nothing ran gangs at the backend servers. Ruled out: starting again after a start whose outcome is unknown (the backend server may have restarted in between, so that the task would run twice); ending leases only at the agent (a frozen or killed agent would leave tasks running), so the backend server holds a lease of its own, counted from the moment it sent its announcement. Change: agent::state decides without input or output; driver, session, backend, answers and server carry it out. The stand-in keeps to the same contract, records what it ran and can be made slow, wrong or dead. The wire stream tells how many messages wait, so that long answers leave room for heartbeats. Settings of the agent gain drain_secs and the telemetry block. Before: no agent.

--- /dev/null
+++ b/src/agent/state/mod.rs
@@ -0,0 +1,465 @@
+//! What an agent holds and decides, without input or output.
+//!
+//! [`State::step`] takes one [`Input`] at a time, with the agent's own monotonic time, and appends
+//! what is to be done. It looks at the lease before anything else, so that a process that was
+//! frozen finds its lease ended before it acts on what it reads next.
+//!
+//! [`agent::Up::Ended`] is sent only when nothing of the attempt runs here any more, whatever the
+//! result says.
+
+use std::collections::BTreeMap;
+use std::rc;
+
+use crate::agent::contract;
+use crate::core::ids;
+use crate::core::lease;
+use crate::core::time;
+use crate::macros;
+use crate::telemetry::event;
+use crate::wire::agent;
+use crate::wire::common;
+
+mod gangs;
+mod member;
+mod tombs;
+
+pub use member::Begun;
+pub use member::Fetched;
+pub use member::Seen;
+pub use member::TaskEnd;
+
+use member::Member;
+use tombs::Tombs;
+
+/// How long the backend server may be silent before it is taken as gone.
+pub const SILENCE: time::Millis = time::Millis::from_secs(3);
+
+/// How soon a backend server is to repeat its announcement.
+pub const REPEAT: time::Millis = time::Millis(500);
+
+/// How long the agent waits for a registration before it announces the worker again.
+const ANNOUNCE_RESEND: time::Millis = time::Millis::from_secs(2);
+
+/// How long the agent waits after a failed look at the backend server's tasks.
+const SWEEP_PAUSE: time::Millis = time::Millis::from_secs(1);
+
+macros::plain! {
+    /// What the state is told.
+    pub enum Input {
+        /// A leader has welcomed this agent on a new session.
+        Connected,
+        /// The session has ended.
+        Disconnected,
+        /// A message from the leader.
+        Down(agent::Down),
+        /// The backend server has announced itself, or repeats it.
+        Announced(contract::Announcement),
+        /// Tasks that nothing here knows were stopped and deleted at the backend server, or not.
+        Swept(bool),
+        /// What became of the order to start a task.
+        Begun(contract::TaskKey, Begun),
+        /// What the backend server says of a task.
+        Watched(contract::TaskKey, Seen),
+        /// What became of fetching an answer.
+        Fetched(ids::AttemptKey, Fetched),
+        /// The answer's bytes were sent to the leader.
+        Delivered(ids::AttemptKey),
+        /// The agent is told to stop: it wants no new work.
+        Leave,
+        /// The agent's time is up: what still runs is stopped, after this grace.
+        StopAll(time::Millis),
+        /// Time has passed.
+        Tick,
+    }
+
+    /// What is to be done.
+    pub enum Output {
+        /// Send a message to the leader, if there is a session.
+        Send(agent::Up),
+        /// Order the start of a task, but not at or after `until`. Answered by [`Input::Begun`].
+        Begin {
+            /// The task.
+            task: contract::TaskKey,
+            /// What it runs.
+            prepare: rc::Rc<agent::Prepare>,
+            /// When the lease ends.
+            until: time::Tick,
+        },
+        /// Ask after a task until it ends, for a bounded time. Answered by [`Input::Watched`].
+        Watch {
+            /// The task.
+            task: contract::TaskKey,
+            /// How long to wait first.
+            pause: time::Millis,
+        },
+        /// Stop a task at once.
+        Stop {
+            /// The task.
+            task: contract::TaskKey,
+        },
+        /// Have a task checkpoint and stop.
+        Checkpoint {
+            /// The task.
+            task: contract::TaskKey,
+            /// How long it may take.
+            grace: time::Millis,
+        },
+        /// Hold a task to a share of its speed.
+        Throttle {
+            /// The task.
+            task: contract::TaskKey,
+            /// The share in percent.
+            percent: u32,
+        },
+        /// Fetch the answer of a task and keep it. Answered by [`Input::Fetched`].
+        Fetch {
+            /// The task.
+            task: contract::TaskKey,
+            /// Its length and checksum, as the backend server promised them.
+            meta: common::AnswerMeta,
+            /// The longest answer permitted, in bytes.
+            limit: u64,
+        },
+        /// Send the kept answer in chunks, then the attempt's end. Answered by
+        /// [`Input::Delivered`] if the session lasts.
+        Deliver {
+            /// The attempt.
+            attempt: ids::AttemptKey,
+            /// The answer's length and checksum.
+            meta: common::AnswerMeta,
+        },
+        /// Drop the kept answer and delete the tasks at the backend server.
+        Discard {
+            /// The attempt.
+            attempt: ids::AttemptKey,
+            /// The tasks.
+            tasks: Vec<contract::TaskKey>,
+        },
+        /// Stop and delete every task at the backend server but these. Answered by
+        /// [`Input::Swept`].
+        Sweep {
+            /// The tasks that are known.
+            keep: Vec<contract::TaskKey>,
+        },
+        /// Log an event.
+        Log(event::Event, String),
+    }
+
+    /// Whether the backend server is there.
+    enum Presence {
+        /// It has not announced itself, or has fallen silent.
+        Absent,
+        /// It is there; tasks that nothing here knows are being stopped.
+        Sweeping,
+        /// It is there, but looking at its tasks failed; tried again from then on.
+        Unswept(time::Tick),
+        /// It is there.
+        Present,
+    }
+}
+
+/// What the backend server announced last.
+struct Backend {
+    spec: common::WorkerSpec,
+    usage: contract::Usage,
+    leaving: bool,
+    heard: time::Tick,
+}
+
+/// The state of an agent.
+pub struct State {
+    holder: lease::Holder,
+    /// The first epoch given to this run of the agent; an earlier run has held those below.
+    first_epoch: Option<ids::Epoch>,
+    /// Whether the lease was valid when last looked at.
+    leased: bool,
+    connected: bool,
+    revision: ids::Revision,
+    backend: Option<Backend>,
+    presence: Presence,
+    /// Until when the backend server was told that tasks may run.
+    granted: time::Tick,
+    /// The agent itself is stopping.
+    stopping: bool,
+    /// Since when no new work is wanted.
+    leaving: Option<time::Tick>,
+    /// Whether the leader is to be told of the worker.
+    announce: bool,
+    /// Since when a registration is awaited.
+    awaiting: Option<time::Tick>,
+    /// When the last heartbeat was sent.
+    beaten: time::Tick,
+    members: BTreeMap<ids::AttemptKey, Member>,
+    tombs: Tombs,
+}
+
+type Out = Vec<Output>;
+
+impl Default for State {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl State {
+    /// Knows no backend server, holds no lease and no tasks.
+    pub fn new() -> Self {
+        Self {
+            holder: lease::Holder::new(),
+            first_epoch: None,
+            leased: false,
+            connected: false,
+            revision: ids::Revision(0),
+            backend: None,
+            presence: Presence::Absent,
+            granted: time::Tick(0),
+            stopping: false,
+            leaving: None,
+            announce: false,
+            awaiting: None,
+            beaten: time::Tick(0),
+            members: BTreeMap::new(),
+            tombs: Tombs::default(),
+        }
+    }
+
+    /// Takes one input and appends what is to be done.
+    pub fn step(&mut self, now: time::Tick, input: Input, out: &mut Out) {
+        self.check_lease(now, out);
+        match input {
+            Input::Connected => self.connected(now, out),
+            Input::Disconnected => self.disconnected(),
+            Input::Down(down) => self.down(now, down, out),
+            Input::Announced(announcement) => self.announced(now, &announcement, out),
+            Input::Swept(ok) => self.swept(now, ok, out),
+            Input::Begun(task, begun) => self.begun(now, task, begun, out),
+            Input::Watched(task, seen) => self.watched(now, task, seen, out),
+            Input::Fetched(attempt, fetched) => self.fetched(now, attempt, fetched, out),
+            Input::Delivered(attempt) => self.delivered(now, attempt),
+            Input::Leave => self.stopping = true,
+            Input::StopAll(grace) => self.stop_all(now, grace, out),
+            Input::Tick => self.tick(now, out),
+        }
+        self.check_leaving(now, out);
+        self.check_announce(now, out);
+    }
+
+    /// The name of the worker; none before the first announcement.
+    pub fn worker(&self) -> Option<&str> {
+        self.backend.as_ref().map(|backend| backend.spec.name.as_str())
+    }
+
+    /// Whether the worker is registered and holds its lease.
+    pub fn ready(&self, now: time::Tick) -> bool {
+        self.holder.valid(now) && self.presence == Presence::Present
+    }
+
+    /// The epoch held or last held.
+    pub fn epoch(&self) -> ids::Epoch {
+        self.holder.epoch()
+    }
+
+    /// The revision of the configuration that this agent was told of last.
+    pub fn revision(&self) -> ids::Revision {
+        self.revision
+    }
+
+    /// Whether nothing is left that control has not taken note of.
+    pub fn idle(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Tasks that take up room.
+    pub fn occupied(&self) -> u32 {
+        let members = self.members.values().filter(|member| member.occupies());
+        members.map(|member| member.prepare().tasks).sum()
+    }
+
+    /// The lease to hand to the backend server, in answer to an announcement.
+    ///
+    /// It is withheld while a stop goes unconfirmed, so that the backend server stops the task
+    /// itself when what it holds has run out.
+    pub fn lend(&mut self, now: time::Tick) -> contract::Lease {
+        let withheld = self.members.values().any(|member| member.overdue(now, SILENCE));
+        let valid = self.holder.valid(now) && !withheld;
+        if let Some(expires) = self.holder.expires()
+            && valid
+        {
+            self.granted = self.granted.max(expires);
+        }
+        let lease = if valid { self.holder.remaining(now) } else { time::Millis(0) };
+        contract::Lease { epoch: self.holder.epoch().0, lease_ms: lease.0, repeat_ms: REPEAT.0 }
+    }
+
+    fn connected(&mut self, now: time::Tick, out: &mut Out) {
+        self.connected = true;
+        self.announce = true;
+        self.beat(now, out);
+        self.report_all(now, out);
+    }
+
+    fn disconnected(&mut self) {
+        self.connected = false;
+        self.awaiting = None;
+    }
+
+    fn down(&mut self, now: time::Tick, down: agent::Down, out: &mut Out) {
+        match down {
+            agent::Down::Welcome { .. } | agent::Down::NotLeader { .. } => {}
+            agent::Down::Registered { epoch, .. } => self.registered(now, ids::Epoch(epoch), out),
+            agent::Down::Lease { sequence, epoch, length } => {
+                self.holder.grant(sequence, ids::Epoch(epoch), time::Millis(length));
+                self.leased = self.holder.valid(now);
+            }
+            agent::Down::Fenced { epoch } => {
+                if self.holder.fence(ids::Epoch(epoch)) {
+                    out.push(Output::Log(event::agent::FENCED, format!("epoch={epoch}")));
+                    self.announce = true;
+                    self.check_lease(now, out);
+                }
+            }
+            agent::Down::Config(config) => {
+                self.revision = self.revision.max(ids::Revision(config.revision));
+            }
+            agent::Down::Prepare(prepare) => self.prepare(now, prepare, out),
+            agent::Down::Start { attempt, epoch } => {
+                self.start(now, attempt.into(), ids::Epoch(epoch), out);
+            }
+            agent::Down::Stop { attempt, grace } => {
+                self.stop(now, attempt.into(), time::Millis(grace), out);
+            }
+            agent::Down::Throttle { attempt, percent } => {
+                self.throttle(attempt.into(), percent, out);
+            }
+            agent::Down::Forget { attempt } => self.forget(now, attempt.into(), out),
+        }
+    }
+
+    fn registered(&mut self, now: time::Tick, epoch: ids::Epoch, out: &mut Out) {
+        self.awaiting = None;
+        if self.holder.register(epoch) {
+            self.first_epoch.get_or_insert(epoch);
+            out.push(Output::Log(event::agent::REGISTERED, format!("epoch={epoch}")));
+            self.check_lease(now, out);
+        }
+        self.beat(now, out);
+    }
+
+    /// Ends what runs under a lease that is over.
+    fn check_lease(&mut self, now: time::Tick, out: &mut Out) {
+        let valid = self.holder.valid(now);
+        if self.leased && !valid {
+            self.leased = false;
+            let epoch = self.holder.epoch();
+            out.push(Output::Log(event::agent::LEASE_LOST, format!("epoch={epoch}")));
+            self.lose_all(now, "the lease ended", out);
+        }
+    }
+
+    fn check_leaving(&mut self, now: time::Tick, out: &mut Out) {
+        let gone = self.presence == Presence::Absent;
+        let said = self.backend.as_ref().is_some_and(|backend| backend.leaving);
+        let leaving = self.stopping || gone || said;
+        match (leaving, self.leaving) {
+            (true, None) => {
+                self.leaving = Some(now);
+                if self.backend.is_some() {
+                    let details = format!("agent={} backend={said}", self.stopping);
+                    out.push(Output::Log(event::agent::LEAVING, details));
+                }
+            }
+            (false, Some(_)) => self.leaving = None,
+            _ => return,
+        }
+        self.announce = true;
+    }
+
+    /// Announces the worker where that is due, but never while tasks of a lease that is over may
+    /// still run: a registration means that they are gone.
+    fn check_announce(&mut self, now: time::Tick, out: &mut Out) {
+        let late = self.awaiting.is_some_and(|sent| now - sent >= ANNOUNCE_RESEND);
+        if !self.connected || !(self.announce || late) {
+            return;
+        }
+        let swept = matches!(self.presence, Presence::Present | Presence::Absent);
+        let clean = self.holder.valid(now) || !self.members.values().any(Member::active);
+        let Some(backend) = &self.backend else { return };
+        if !swept || !clean {
+            return;
+        }
+        self.announce = false;
+        self.awaiting = Some(now);
+        let leaving = self.leaving.is_some();
+        out.push(Output::Send(agent::Up::Announce { spec: backend.spec.clone(), leaving }));
+    }
+
+    fn announced(&mut self, now: time::Tick, announcement: &contract::Announcement, out: &mut Out) {
+        let spec = common::WorkerSpec::from(announcement);
+        if self.backend.as_ref().is_none_or(|backend| backend.spec != spec) {
+            self.announce = true;
+        }
+        let (usage, leaving) = (announcement.usage, announcement.leaving);
+        self.backend = Some(Backend { spec, usage, leaving, heard: now });
+        if self.presence == Presence::Absent {
+            self.sweep(out);
+        }
+    }
+
+    fn sweep(&mut self, out: &mut Out) {
+        self.presence = Presence::Sweeping;
+        let keep = self.members.values().flat_map(Member::keys).collect();
+        out.push(Output::Sweep { keep });
+    }
+
+    fn swept(&mut self, now: time::Tick, ok: bool, out: &mut Out) {
+        if self.presence != Presence::Sweeping {
+            return;
+        }
+        let event = if ok { event::agent::BACKEND_PRESENT } else { event::agent::SWEEP_FAILED };
+        let worker = self.worker().unwrap_or_default();
+        out.push(Output::Log(event, format!("worker={worker}")));
+        self.presence = if ok { Presence::Present } else { Presence::Unswept(now + SWEEP_PAUSE) };
+    }
+
+    fn tick(&mut self, now: time::Tick, out: &mut Out) {
+        self.check_silence(now, out);
+        if let Presence::Unswept(until) = self.presence
+            && now >= until
+        {
+            self.sweep(out);
+        }
+        if now - self.beaten >= lease::HEARTBEAT {
+            self.beat(now, out);
+        }
+        self.tick_members(now, out);
+    }
+
+    fn check_silence(&mut self, now: time::Tick, out: &mut Out) {
+        let Some(backend) = &self.backend else { return };
+        if self.presence == Presence::Absent || now - backend.heard < SILENCE {
+            return;
+        }
+        self.presence = Presence::Absent;
+        let worker = backend.spec.name.clone();
+        out.push(Output::Log(event::agent::BACKEND_GONE, format!("worker={worker}")));
+        self.lose_all(now, "the backend server fell silent", out);
+    }
+
+    /// Asks for the lease to be renewed, where there is one to renew.
+    fn beat(&mut self, now: time::Tick, out: &mut Out) {
+        if !self.connected || self.holder.fenced() {
+            return;
+        }
+        self.beaten = now;
+        let sequence = self.holder.heartbeat(now);
+        let attempts = self.members.keys().map(|attempt| (*attempt).into()).collect();
+        let usage = self.backend.as_ref().map(|backend| backend.usage).unwrap_or_default();
+        out.push(Output::Send(agent::Up::Heartbeat {
+            sequence,
+            epoch: self.holder.epoch().0,
+            revision: self.revision.0,
+            attempts,
+            usage: usage.into(),
+        }));
+    }
+}
--- a/src/core/lease/holder.rs
+++ b/src/core/lease/holder.rs
@@ -55,6 +55,11 @@
         self.epoch
     }
 
+    /// Whether there is no epoch, or it has ended for good.
+    pub fn fenced(&self) -> bool {
+        self.fenced
+    }
+
     /// Notes that a heartbeat is about to be sent, and returns its number.
     ///
     /// `now` must have been read before the message was handed to the socket.
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -89,6 +89,11 @@
         self.queue.try_send(codec::encode(message)).is_ok()
     }
 
+    /// Messages that wait to be sent.
+    pub fn queued(&self) -> usize {
+        self.queue.max_capacity() - self.queue.capacity()
+    }
+
     /// Whether the stream has ended.
     pub fn is_closed(&self) -> bool {
         self.queue.is_closed()
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod check_settings;
 pub mod daemon;
+pub mod standin;
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use crate::settings;
+use crate::settings::telemetry;
 
 /// Settings of `hemlockcleat-agent`.
 #[derive(Clone, Debug, serde::Deserialize)]
@@ -15,6 +16,22 @@
     pub listen: net::SocketAddr,
     /// The control replicas' addresses.
     pub control: Vec<net::SocketAddr>,
+    /// How long a planned stop lets running tasks go on, in seconds.
+    #[serde(default = "default_drain")]
+    pub drain_secs: u64,
+    /// Logs and traces.
+    #[serde(default)]
+    pub telemetry: telemetry::Telemetry,
+}
+
+/// How long a planned stop lets tasks run where the settings don't say.
+const DEFAULT_DRAIN_SECS: u64 = 600;
+
+/// The longest time that a planned stop may be given.
+const MAX_DRAIN_SECS: u64 = 7 * 24 * 3600;
+
+fn default_drain() -> u64 {
+    DEFAULT_DRAIN_SECS
 }
 
 impl settings::Check for Settings {
@@ -22,6 +39,9 @@
         if self.control.is_empty() {
             return Err(settings::value_error("control", "must name a control replica"));
         }
+        if !(1..=MAX_DRAIN_SECS).contains(&self.drain_secs) {
+            return Err(settings::value_error("drain_secs", "must be 1 to 604800"));
+        }
         Ok(())
     }
 }
--- a/src/telemetry/event/agent.rs
+++ b/src/telemetry/event/agent.rs
@@ -3,4 +3,39 @@
 use crate::telemetry::event::Event;
 
 /// Every event of this range.
-pub const ALL: &[Event] = &[];
+pub const ALL: &[Event] = &[
+    CONNECTED,
+    DISCONNECTED,
+    BACKEND_PRESENT,
+    BACKEND_GONE,
+    REGISTERED,
+    FENCED,
+    LEASE_LOST,
+    ATTEMPT_ENDED,
+    LEAVING,
+    CUT_SHORT,
+    SWEEP_FAILED,
+];
+
+/// A session with the leading control replica stands.
+pub const CONNECTED: Event = Event::new(500, log::Level::Info, "session with control opened");
+/// The session with control has ended; the agent looks for the leader.
+pub const DISCONNECTED: Event = Event::new(501, log::Level::Info, "session with control ended");
+/// The backend server has announced itself and holds no task that the agent does not know.
+pub const BACKEND_PRESENT: Event = Event::new(502, log::Level::Info, "backend server present");
+/// The backend server is silent; its tasks are given up.
+pub const BACKEND_GONE: Event = Event::new(503, log::Level::Warn, "backend server silent");
+/// Control has registered the worker under an epoch.
+pub const REGISTERED: Event = Event::new(504, log::Level::Info, "worker registered");
+/// Control has ended the worker's epoch; its tasks are stopped.
+pub const FENCED: Event = Event::new(505, log::Level::Warn, "epoch ended by control");
+/// The lease ran out on the agent's own clock; its tasks are stopped.
+pub const LEASE_LOST: Event = Event::new(506, log::Level::Warn, "lease ran out");
+/// An attempt has ended here.
+pub const ATTEMPT_ENDED: Event = Event::new(507, log::Level::Debug, "attempt ended");
+/// The worker wants no new work.
+pub const LEAVING: Event = Event::new(508, log::Level::Info, "worker leaving");
+/// Tasks outlasted the time of a planned stop and are stopped.
+pub const CUT_SHORT: Event = Event::new(509, log::Level::Warn, "planned stop out of time");
+/// The backend server's tasks could not be listed or stopped; tried again.
+pub const SWEEP_FAILED: Event = Event::new(510, log::Level::Warn, "unknown tasks not cleared");
--- a/src/telemetry/event/mod.rs
+++ b/src/telemetry/event/mod.rs
@@ -14,7 +14,7 @@
 pub mod store;
 
 /// A numbered log event.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Event {
     /// Its number; never used again for another event.
     pub number: u16,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
+mod agent;
 mod lease;
 mod limit;
 mod placement;
