--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
 mod gang;
+mod agent;
 mod lease;
 mod ledger;
 mod limit;
