--- a/src/core/time.rs
+++ b/src/core/time.rs
@@ -36,6 +36,27 @@
     pub const fn hour(self) -> Wall {
         Wall(self.0 - self.0 % HOUR.0)
     }
+
+    /// The point in UTC, to the second, such as `2026-12-04 09:44:31`.
+    pub fn civil(self) -> String {
+        let secs = self.0 / 1000;
+        let (year, month, day) = civil_date(secs / 86_400);
+        let (hour, minute, second) = (secs / 3600 % 24, secs / 60 % 60, secs % 60);
+        format!("{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02}")
+    }
+}
+
+/// The Gregorian date of a day counted from 1970-01-01.
+fn civil_date(days: u64) -> (u64, u64, u64) {
+    // Counted from 0000-03-01, so that the leap day ends its year.
+    let days = days + 719_468;
+    let (era, day) = (days / 146_097, days % 146_097);
+    let year = (day - day / 1460 + day / 36_524 - day / 146_096) / 365;
+    let day = day - (365 * year + year / 4 - year / 100);
+    let month = (5 * day + 2) / 153;
+    let date = day - (153 * month + 2) / 5 + 1;
+    let (month, carry) = if month < 10 { (month + 3, 0) } else { (month - 9, 1) };
+    (era * 400 + year + carry, month, date)
 }
 
 impl ops::Add<Millis> for Tick {
--- /dev/null
+++ b/src/entry/answer.rs
@@ -0,0 +1,168 @@
+//! Streaming an answer, whole or not at all.
+//!
+//! Chunks must follow one another without a hole. The last one is held back until the checksum of
+//! the whole matches; where it doesn't, the body ends short of its stated length and the
+//! connection closes, so that no client takes a part for the whole.
+
+use std::io;
+use std::rc;
+
+use actix_http::StatusCode;
+use actix_http::body;
+use actix_http::header;
+use futures_util::stream;
+use sha2::Digest as _;
+
+use crate::core::verdict;
+use crate::entry::caller;
+use crate::entry::document;
+use crate::entry::link;
+use crate::entry::reply;
+use crate::entry::session;
+use crate::entry::state;
+use crate::net::http;
+use crate::telemetry::event;
+use crate::telemetry::trace;
+use crate::wire::common;
+use crate::wire::entry as wire;
+
+/// The header with the answer's SHA-256 digest in hexadecimal.
+pub const DIGEST_HEADER: &str = "hemlockcleat-sha256";
+
+/// Faults in a row, without a byte of progress, after which an answer is cut.
+const MAX_FAULTS: u32 = 4;
+
+/// The response that streams a finished job's answer.
+pub fn respond(
+    state: &rc::Rc<state::State>,
+    target: &caller::Target,
+    job: &wire::Job,
+    meta: &common::AnswerMeta,
+    hop: &trace::Hop,
+) -> http::Response {
+    if meta.length == 0 && meta.sha256 != <[u8; 32]>::from(sha2::Sha256::digest([])) {
+        let refusal = verdict::Refusal {
+            verdict: verdict::Verdict::Ran,
+            reason: verdict::Reason::BadAnswer,
+            detail: "empty, against its checksum".to_owned(),
+        };
+        return reply::refused(&refusal);
+    }
+    let reader = Reader {
+        state: state.clone(),
+        hop: hop.clone(),
+        call: (target.account.clone(), target.key.clone()),
+        job: job.job,
+        meta: meta.clone(),
+        offset: 0,
+        hash: sha2::Sha256::new(),
+        exchange: None,
+        faults: 0,
+    };
+    let body = body::SizedStream::new(meta.length, Box::pin(stream::unfold(Some(reader), step)));
+    let mut response = actix_http::Response::build(StatusCode::OK);
+    response.insert_header((header::CONTENT_TYPE, "application/octet-stream"));
+    response.insert_header((header::CACHE_CONTROL, "no-store"));
+    response.insert_header((header::X_CONTENT_TYPE_OPTIONS, "nosniff"));
+    response.insert_header((DIGEST_HEADER, document::hex(&meta.sha256)));
+    response.body(body).map_into_boxed_body()
+}
+
+/// One step of the body's stream.
+async fn step(reader: Option<Reader>) -> Option<(io::Result<bytes::Bytes>, Option<Reader>)> {
+    let mut reader = reader?;
+    if reader.offset == reader.meta.length {
+        return None;
+    }
+    match reader.next().await {
+        Ok(bytes) => Some((Ok(bytes), Some(reader))),
+        Err(detail) => {
+            let (job, offset) = (reader.job, reader.offset);
+            event::entry::ANSWER_CUT.log(format_args!("job={job} offset={offset} error={detail}"));
+            Some((Err(io::Error::other(detail)), None))
+        }
+    }
+}
+
+/// What a chunk is worth.
+enum Piece {
+    Good(Vec<u8>),
+    Fault(&'static str),
+}
+
+/// Reads one answer off control, asking again from where it stands after a fault.
+struct Reader {
+    state: rc::Rc<state::State>,
+    hop: trace::Hop,
+    call: (String, String),
+    job: u64,
+    meta: common::AnswerMeta,
+    offset: u64,
+    hash: sha2::Sha256,
+    exchange: Option<session::Exchange>,
+    faults: u32,
+}
+
+impl Reader {
+    /// The next bytes, which the checksum has covered where they are the last.
+    async fn next(&mut self) -> Result<bytes::Bytes, &'static str> {
+        loop {
+            match self.piece().await? {
+                Piece::Good(bytes) => return self.take(bytes),
+                Piece::Fault(detail) => self.fault(detail)?,
+            }
+        }
+    }
+
+    fn take(&mut self, bytes: Vec<u8>) -> Result<bytes::Bytes, &'static str> {
+        self.faults = 0;
+        self.hash.update(&bytes);
+        self.offset += bytes.len() as u64;
+        let whole = self.offset == self.meta.length;
+        if whole && self.hash.clone().finalize().as_slice() != self.meta.sha256 {
+            return Err("the checksum does not match");
+        }
+        Ok(bytes.into())
+    }
+
+    fn fault(&mut self, detail: &'static str) -> Result<(), &'static str> {
+        self.exchange = None;
+        self.faults += 1;
+        if self.faults > MAX_FAULTS { Err(detail) } else { Ok(()) }
+    }
+
+    async fn piece(&mut self) -> Result<Piece, &'static str> {
+        let deadline = tokio::time::Instant::now() + self.state.patience();
+        if self.exchange.is_none() {
+            self.exchange = Some(self.ask(deadline).await?);
+        }
+        let exchange = self.exchange.as_mut().ok_or("no call")?;
+        let reply = match tokio::time::timeout_at(deadline, exchange.reply()).await {
+            Ok(Some(reply)) => reply,
+            // The session ended, or this client was slower than control: ask again from here.
+            Ok(None) => return Ok(Piece::Fault("the answer breaks off")),
+            Err(_) => return Ok(Piece::Fault("control stopped sending")),
+        };
+        let wire::Reply::Chunk { offset, bytes, last } = reply else {
+            return Ok(Piece::Fault("control refused the answer"));
+        };
+        let end = offset.saturating_add(bytes.len() as u64);
+        if offset != self.offset || bytes.is_empty() || end > self.meta.length {
+            return Ok(Piece::Fault("a chunk does not follow the one before"));
+        }
+        if last != (end == self.meta.length) {
+            return Ok(Piece::Fault("the answer has another length"));
+        }
+        Ok(Piece::Good(bytes))
+    }
+
+    async fn ask(&self, deadline: tokio::time::Instant) -> Result<session::Exchange, &'static str> {
+        let (account, key) = self.call.clone();
+        let body = wire::Call::Answer { account, key, offset: self.offset };
+        // Each ask is for other bytes, so it is no resend; asks after a fault are bounded here.
+        let mut lost = link::Lost { sent: false };
+        let link = &self.state.link;
+        let asked = link.exchange(&self.hop.context().into(), &body, deadline, &mut lost).await;
+        asked.map_err(|_| "control can't be reached")
+    }
+}
--- /dev/null
+++ b/src/entry/caller.rs
@@ -0,0 +1,398 @@
+//! Callers: submit a request, wait for its end, fetch its answer, cancel it.
+
+use std::rc;
+use std::time;
+
+use actix_http::StatusCode;
+
+use crate::core::account;
+use crate::core::ledger::job;
+use crate::core::limit;
+use crate::core::time as core_time;
+use crate::core::verdict;
+use crate::entry::answer;
+use crate::entry::document;
+use crate::entry::input;
+use crate::entry::reply;
+use crate::entry::state;
+use crate::entry::view;
+use crate::net::http;
+use crate::telemetry::metrics as names;
+use crate::telemetry::trace;
+use crate::wire::common;
+use crate::wire::entry as wire;
+
+/// The deadline sent for a kind of work that this entry does not know; control refuses it unless
+/// it knows the key, and then the deadline does not count.
+const UNKNOWN_DEADLINE: core_time::Millis = core_time::HOUR;
+
+/// The body of a submission.
+#[derive(Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Submission {
+    service: String,
+    kind: String,
+    #[serde(default = "one")]
+    tasks: u32,
+    #[serde(default)]
+    accelerators: u32,
+    #[serde(default)]
+    adjacency: document::Adjacency,
+    run_time_ms: u64,
+    #[serde(default)]
+    deadline_ms: Option<u64>,
+    #[serde(default)]
+    due: Option<u64>,
+    #[serde(default)]
+    payload: Payload,
+}
+
+/// What the backend server gets: text as it is, other JSON in its compact form.
+#[derive(Debug, serde::Deserialize)]
+#[serde(untagged)]
+enum Payload {
+    Text(String),
+    Json(serde_json::Value),
+}
+
+impl Default for Payload {
+    fn default() -> Self {
+        Self::Text(String::new())
+    }
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// The query of a caller's request.
+#[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Query {
+    /// How long to wait for the end, in milliseconds.
+    wait: u64,
+    /// Whether an earlier send under this key is unanswered: then this entry can't say `not-run`.
+    resend: bool,
+}
+
+/// A request as its path names it.
+#[derive(Clone)]
+pub struct Target {
+    /// The client account.
+    pub account: String,
+    /// The caller's key.
+    pub key: String,
+}
+
+fn bad(detail: impl Into<String>) -> verdict::Refusal {
+    verdict::Refusal::not_run(verdict::Reason::BadRequest, detail)
+}
+
+impl Target {
+    fn check(&self) -> Result<(), verdict::Refusal> {
+        if self.key.is_empty() || self.key.len() > job::MAX_KEY {
+            return Err(bad(format!("the key must have 1 to {} bytes", job::MAX_KEY)));
+        }
+        Ok(())
+    }
+
+    fn fetch(&self, wait: u64) -> wire::Call {
+        wire::Call::Fetch { account: self.account.clone(), key: self.key.clone(), wait }
+    }
+}
+
+/// `PUT`: submits, and waits for the end if asked to.
+pub async fn submit(
+    state: &state::State,
+    target: Target,
+    mut request: http::Request,
+    hop: &trace::Hop,
+) -> http::Response {
+    let query = match admit(state, &target, &request) {
+        Ok(query) => query,
+        Err(refusal) => return reply::refused(&refusal),
+    };
+    let submission = match input::json(&mut request, input::MAX_REQUEST, state.body_time()).await {
+        Ok(submission) => submission,
+        Err(refusal) => return reply::refused(&honest(refusal, query)),
+    };
+    let started = tokio::time::Instant::now();
+    let response = match spec(state, &target, submission) {
+        Ok(spec) => admitted(state, &target, spec, query, hop).await,
+        Err(refusal) => reply::refused(&honest(refusal, query)),
+    };
+    names::observe(names::REQUEST_SECONDS, started.elapsed());
+    response
+}
+
+/// Checks all but the body.
+fn admit(
+    state: &state::State,
+    target: &Target,
+    request: &http::Request,
+) -> Result<Query, verdict::Refusal> {
+    state.prove_account(request, &target.account)?;
+    target.check()?;
+    input::query(request)
+}
+
+/// An own refusal in the light of what the caller says of earlier sends.
+fn honest(refusal: verdict::Refusal, query: Query) -> verdict::Refusal {
+    if query.resend && refusal.verdict == verdict::Verdict::NotRun {
+        let detail = format!("{}; an earlier send is unanswered", refusal.detail);
+        return verdict::Refusal::may_have_run(refusal.reason, detail);
+    }
+    refusal
+}
+
+fn spec(
+    state: &state::State,
+    target: &Target,
+    submission: Submission,
+) -> Result<job::Spec, verdict::Refusal> {
+    let shape = document::check_shape(
+        "request",
+        submission.tasks,
+        submission.accelerators,
+        submission.adjacency,
+    );
+    let payload = match submission.payload {
+        Payload::Text(text) => text.into_bytes(),
+        Payload::Json(value) => value.to_string().into_bytes(),
+    };
+    if payload.len() > job::MAX_PAYLOAD {
+        return Err(bad(format!("payload: must have at most {} bytes", job::MAX_PAYLOAD)));
+    }
+    if submission.run_time_ms == 0 {
+        return Err(bad("run_time_ms: must be 1 or more"));
+    }
+    let config = state.config()?;
+    let kind = config.kind(&submission.service, &submission.kind);
+    let deadline = deadline(submission.deadline_ms, submission.due, kind)?;
+    Ok(job::Spec {
+        account: target.account.clone(),
+        service: submission.service,
+        kind: submission.kind,
+        key: target.key.clone(),
+        shape: shape.map_err(|error| bad(error.to_string()))?,
+        run_time: core_time::Millis(submission.run_time_ms),
+        deadline,
+        payload,
+    })
+}
+
+fn deadline(
+    relative: Option<u64>,
+    due: Option<u64>,
+    kind: Option<&account::Kind>,
+) -> Result<core_time::Wall, verdict::Refusal> {
+    let now = state::now();
+    match (relative, due) {
+        (Some(_), Some(_)) => Err(bad("deadline_ms and due: give one of them")),
+        (Some(0), None) => Err(bad("deadline_ms: must be 1 or more")),
+        (Some(span), None) => Ok(now + core_time::Millis(span)),
+        (None, Some(due)) => Ok(core_time::Wall(due)),
+        (None, None) => Ok(now + kind.map_or(UNKNOWN_DEADLINE, |kind| kind.deadline)),
+    }
+}
+
+/// Sends a checked submission on to control if there is room for it.
+async fn admitted(
+    state: &state::State,
+    target: &Target,
+    spec: job::Spec,
+    query: Query,
+    hop: &trace::Hop,
+) -> http::Response {
+    let place = match Place::take(state, &spec) {
+        Ok(place) => place,
+        Err(refused) => {
+            let refusal = honest(refused.refusal, query);
+            state.count_refusal(&spec.service, &refusal);
+            let mut response = reply::refused(&refusal);
+            reply::retry_after(&mut response, refused.retry_after);
+            return response;
+        }
+    };
+    let response = send(state, target, spec, query, hop).await;
+    drop(place);
+    response
+}
+
+/// A submission's place among those this entry holds; given back when dropped.
+struct Place<'a> {
+    state: &'a state::State,
+    account: String,
+}
+
+impl<'a> Place<'a> {
+    fn take(state: &'a state::State, spec: &job::Spec) -> Result<Self, limit::Refusal> {
+        let account = spec.account.clone();
+        let Some(config) = state.link.config() else { return Ok(Self { state, account }) };
+        let kind = config.kind(&spec.service, &spec.kind);
+        let class = kind.map_or(account::Class::Deferred, |kind| kind.class);
+        if let Some(known) = config.accounts.get(&account) {
+            state.admission.borrow_mut().admit(state.tick(), known, class, 1)?;
+        }
+        Ok(Self { state, account })
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.state.admission.borrow_mut().finish(&self.account);
+    }
+}
+
+/// Sends an admitted submission to control.
+async fn send(
+    state: &state::State,
+    target: &Target,
+    spec: job::Spec,
+    query: Query,
+    hop: &trace::Hop,
+) -> http::Response {
+    let service = spec.service.clone();
+    let call = wire::Call::Submit(common::Spec::from(spec));
+    let job = match state.link.call(&hop.context().into(), call, state.patience()).await {
+        Ok(wire::Reply::Job(job)) if fits(&job, target) => job,
+        Ok(wire::Reply::Refused(refusal)) => return reply::refused_by_control(&refusal),
+        Ok(_) => return state::misfit("submit"),
+        Err(lost) => {
+            let refusal = honest(lost.refusal(), query);
+            state.count_refusal(&service, &refusal);
+            return reply::refused(&refusal);
+        }
+    };
+    if query.wait == 0 || job.end.is_some() {
+        return accepted(&job);
+    }
+    match wait(state, target, query.wait, hop).await {
+        Waited::Job(later) => accepted(&later),
+        Waited::Stopping => stopping(&format!("accepted as job {}", job.job)),
+        // It is accepted all the same; the caller may ask for it again.
+        Waited::Failed(_) => accepted(&job),
+    }
+}
+
+fn accepted(job: &wire::Job) -> http::Response {
+    let ended = job.end.is_some();
+    let status = if ended { StatusCode::OK } else { StatusCode::ACCEPTED };
+    reply::json(status, &view::Job::from(job))
+}
+
+fn stopping(what: &str) -> http::Response {
+    let detail = format!("{what}; wait again with the same key");
+    reply::refused(&verdict::Refusal::may_have_run(verdict::Reason::Stopping, detail))
+}
+
+/// How a wait went.
+enum Waited {
+    Job(wire::Job),
+    Stopping,
+    Failed(http::Response),
+}
+
+/// Waits for a request's end, for so many milliseconds within the entry's bound.
+async fn wait(state: &state::State, target: &Target, wait: u64, hop: &trace::Hop) -> Waited {
+    let wait = wait.min(state.limits.wait_ms);
+    let patience = state.patience() + time::Duration::from_millis(wait);
+    let ask = state.ask(hop, target.fetch(wait), patience);
+    let stopped = async {
+        match wait {
+            // An answer at once is no wait: it is worth finishing.
+            0 => std::future::pending().await,
+            _ => state.stopped().await,
+        }
+    };
+    let reply = tokio::select! {
+        biased;
+        reply = ask => reply,
+        () = stopped => return Waited::Stopping,
+    };
+    match reply {
+        Ok(wire::Reply::Job(job)) if fits(&job, target) => Waited::Job(job),
+        Ok(_) => Waited::Failed(state::misfit("fetch")),
+        Err(response) => Waited::Failed(response),
+    }
+}
+
+/// Whether a job is the one the caller asks for.
+fn fits(job: &wire::Job, target: &Target) -> bool {
+    job.account == target.account && job.key == target.key
+}
+
+/// `GET`: how the request stands.
+pub async fn fetch(
+    state: &state::State,
+    target: Target,
+    request: http::Request,
+    hop: &trace::Hop,
+) -> http::Response {
+    let query = match admit(state, &target, &request) {
+        Ok(query) => query,
+        Err(refusal) => return reply::refused(&refusal),
+    };
+    match wait(state, &target, query.wait, hop).await {
+        Waited::Job(job) => reply::json(StatusCode::OK, &view::Job::from(&job)),
+        Waited::Stopping => stopping("the entry stops"),
+        Waited::Failed(response) => response,
+    }
+}
+
+/// `GET .../answer`: the whole answer.
+pub async fn answer(
+    state: &rc::Rc<state::State>,
+    target: Target,
+    request: http::Request,
+    hop: &trace::Hop,
+) -> http::Response {
+    let query = match admit(state, &target, &request) {
+        Ok(query) => query,
+        Err(refusal) => return reply::refused(&refusal),
+    };
+    let job = match wait(state, &target, query.wait, hop).await {
+        Waited::Job(job) => job,
+        Waited::Stopping => return stopping("the entry stops"),
+        Waited::Failed(response) => return response,
+    };
+    match &job.end {
+        Some(common::End::Done(meta)) => answer::respond(state, &target, &job, meta, hop),
+        Some(common::End::Refused(refusal)) => reply::refused_by_control(refusal),
+        None => pending(&job),
+    }
+}
+
+/// The response while there is no answer yet. No success, so that nobody takes it for the answer.
+fn pending(job: &wire::Job) -> http::Response {
+    let mut response = reply::json(StatusCode::CONFLICT, &view::Job::from(job));
+    reply::retry_after(&mut response, core_time::Millis::from_secs(1));
+    response
+}
+
+/// `DELETE`: cancels the request.
+pub async fn cancel(
+    state: &state::State,
+    target: Target,
+    request: http::Request,
+    hop: &trace::Hop,
+) -> http::Response {
+    if let Err(refusal) = admit(state, &target, &request) {
+        return reply::refused(&refusal);
+    }
+    cancel_target(state, target, hop).await
+}
+
+/// Cancels a request on behalf of its caller or of an operator.
+pub async fn cancel_target(
+    state: &state::State,
+    target: Target,
+    hop: &trace::Hop,
+) -> http::Response {
+    let call = wire::Call::Cancel { account: target.account.clone(), key: target.key.clone() };
+    match state.ask(hop, call, state.patience()).await {
+        Ok(wire::Reply::Job(job)) => reply::json(StatusCode::OK, &view::Job::from(&job)),
+        Ok(_) => state::misfit("cancel"),
+        Err(response) => response,
+    }
+}
--- /dev/null
+++ b/src/entry/hours.rs
@@ -0,0 +1,163 @@
+//! The status page's hours: the last good copy, and its completion so that no hour is left out.
+
+use std::collections::BTreeMap;
+use std::time;
+
+use crate::core::time as core_time;
+use crate::wire::entry as wire;
+
+/// How old a copy may be before the page says that it is old.
+pub const FRESH: time::Duration = time::Duration::from_secs(15);
+
+/// Hours before the current one that the page shows.
+pub const HOURS_BACK: u64 = 24;
+
+/// Hours after the current one that the page shows.
+pub const HOURS_AHEAD: u64 = 12;
+
+/// The longest span that one look-up may cover, in hours.
+pub const SPAN_LIMIT: u64 = 24 * 31;
+
+/// Why a span has no record, in words for readers.
+pub const UNRECORDED: &str = "the system could not record this span";
+
+/// Why an hour has no record although control answered, in words for readers.
+pub const MISSING: &str = "no record of this hour was received";
+
+/// The last good copy.
+#[derive(Debug, Default)]
+pub struct Cache {
+    copy: Option<(wire::Hours, time::Instant)>,
+}
+
+impl Cache {
+    /// Takes a newer copy over. A copy as of an earlier time than the one held is dropped.
+    pub fn set(&mut self, hours: wire::Hours) {
+        let held = self.copy.as_ref().map_or(0, |(copy, _)| copy.as_of);
+        if hours.as_of >= held {
+            self.copy = Some((hours, time::Instant::now()));
+        }
+    }
+
+    /// The copy and its age.
+    pub fn get(&self) -> Option<(&wire::Hours, time::Duration)> {
+        self.copy.as_ref().map(|(hours, at)| (hours, at.elapsed()))
+    }
+}
+
+/// A span of hours: the first hour's start, and the end of the last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// The start of the first hour.
+    pub from: core_time::Wall,
+    /// The end of the last hour.
+    pub until: core_time::Wall,
+}
+
+impl Span {
+    /// The span that the page shows by itself.
+    pub fn around(now: core_time::Wall) -> Self {
+        let hour = now.hour().0;
+        let from = hour.saturating_sub(HOURS_BACK * core_time::HOUR.0);
+        let until = hour + (HOURS_AHEAD + 1) * core_time::HOUR.0;
+        Self { from: core_time::Wall(from), until: core_time::Wall(until) }
+    }
+
+    /// A span of whole hours that a reader asks for; none if it is empty or too long.
+    pub fn checked(from: u64, until: u64) -> Option<Self> {
+        let from = core_time::Wall(from).hour();
+        let until = core_time::Wall(until.checked_add(core_time::HOUR.0 - 1)?).hour();
+        let hours = until.0.checked_sub(from.0)? / core_time::HOUR.0;
+        (1..=SPAN_LIMIT).contains(&hours).then_some(Self { from, until })
+    }
+
+    fn hours(self) -> impl Iterator<Item = u64> {
+        (self.from.0..self.until.0).step_by(core_time::HOUR.0 as usize)
+    }
+}
+
+/// One hour of one service as readers see it.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct Row {
+    /// The start of the hour, in ms since 1970.
+    pub hour: u64,
+    /// The same in UTC for people.
+    pub start: String,
+    /// Requests due in the hour.
+    pub promised: u64,
+    /// Done in time.
+    pub done: u64,
+    /// Late.
+    pub late: u64,
+    /// Refused with not-run.
+    pub refused: u64,
+    /// Ended with may-have-run.
+    pub may_have_run: u64,
+    /// Spans that are not recorded.
+    pub not_recorded: Vec<Gap>,
+}
+
+/// A span without a record.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct Gap {
+    /// Its start, in ms since 1970.
+    pub from: u64,
+    /// Its end, in ms since 1970.
+    pub until: u64,
+    /// Why, in words for readers.
+    pub reason: &'static str,
+}
+
+/// The rows by service, in the order of their hours. Between a service's first row in the copy
+/// and the hour that the copy is as of, an hour that control left out is shown as not recorded.
+pub fn rows(hours: &wire::Hours, span: Span) -> BTreeMap<String, Vec<Row>> {
+    let mut services: BTreeMap<String, BTreeMap<u64, Row>> = BTreeMap::new();
+    for hour in &hours.hours {
+        if hour.hour >= span.from.0 && hour.hour < span.until.0 {
+            services.entry(hour.service.clone()).or_default().insert(hour.hour, row(hour));
+        }
+    }
+    for rows in services.values_mut() {
+        complete(rows, hours.as_of, span);
+    }
+    let sorted = |(name, rows): (String, BTreeMap<u64, Row>)| (name, rows.into_values().collect());
+    services.into_iter().map(sorted).collect()
+}
+
+fn complete(rows: &mut BTreeMap<u64, Row>, as_of: u64, span: Span) {
+    let Some((&first, _)) = rows.first_key_value() else { return };
+    for hour in span.hours() {
+        if hour > first && hour <= as_of {
+            rows.entry(hour).or_insert_with(|| missing(hour, as_of));
+        }
+    }
+}
+
+fn row(hour: &wire::Hour) -> Row {
+    let gap = |&(from, until): &(u64, u64)| Gap { from, until, reason: UNRECORDED };
+    Row {
+        hour: hour.hour,
+        start: core_time::Wall(hour.hour).civil(),
+        promised: hour.promised,
+        done: hour.done,
+        late: hour.late,
+        refused: hour.refused,
+        may_have_run: hour.uncertain,
+        not_recorded: hour.gaps.iter().map(gap).collect(),
+    }
+}
+
+fn missing(hour: u64, as_of: u64) -> Row {
+    let until = as_of.min(hour + core_time::HOUR.0);
+    let empty = wire::Hour {
+        service: String::new(),
+        hour,
+        promised: 0,
+        done: 0,
+        late: 0,
+        refused: 0,
+        uncertain: 0,
+        gaps: Vec::new(),
+    };
+    Row { not_recorded: vec![Gap { from: hour, until, reason: MISSING }], ..row(&empty) }
+}
--- /dev/null
+++ b/src/entry/input.rs
@@ -0,0 +1,167 @@
+//! Reading requests: paths, queries and bodies, all bounded.
+
+use std::time;
+
+use actix_http::HttpMessage as _;
+use actix_http::header;
+use futures_util::StreamExt as _;
+
+use crate::core::ledger::job;
+use crate::core::verdict;
+use crate::entry::document;
+use crate::net::http;
+
+/// The longest head's fields together, in bytes.
+const MAX_HEAD: usize = 16 * 1024;
+
+/// The longest body of a caller's request, in bytes: a payload that is all escapes, and the rest.
+pub const MAX_REQUEST: usize = 6 * job::MAX_PAYLOAD + 64 * 1024;
+
+/// The longest ticket, in bytes.
+pub const MAX_TICKET: usize = 2 * 1024 * 1024;
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// The status page.
+    Page,
+    /// The status page's hours as JSON.
+    Hours,
+    /// Whether the process lives.
+    Health,
+    /// Whether it should get callers.
+    Ready,
+    /// Metrics.
+    Metrics,
+    /// A caller's request.
+    Request {
+        /// The client account.
+        account: String,
+        /// The caller's key.
+        key: String,
+    },
+    /// Its answer.
+    Answer {
+        /// The client account.
+        account: String,
+        /// The caller's key.
+        key: String,
+    },
+    /// Tickets.
+    Tickets,
+    /// What a ticket would change.
+    Plan,
+    /// A ticket by number.
+    Ticket(u64),
+    /// Client accounts.
+    Accounts,
+    /// A client account.
+    Account(String),
+    /// Workers.
+    Workers,
+    /// Jobs.
+    Jobs,
+    /// A job by number.
+    Job(u64),
+    /// The control group's state.
+    Status,
+}
+
+/// The route of a path; none if there is none.
+pub fn route(path: &str) -> Option<Route> {
+    let parts: Option<Vec<String>> = path.strip_prefix('/')?.split('/').map(decode).collect();
+    let parts = parts?;
+    let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
+    Some(match parts.as_slice() {
+        [""] => Route::Page,
+        ["healthz"] => Route::Health,
+        ["readyz"] => Route::Ready,
+        ["metrics"] => Route::Metrics,
+        ["v1", "hours"] => Route::Hours,
+        ["v1", "accounts", account, "requests", key] => {
+            Route::Request { account: (*account).to_owned(), key: (*key).to_owned() }
+        }
+        ["v1", "accounts", account, "requests", key, "answer"] => {
+            Route::Answer { account: (*account).to_owned(), key: (*key).to_owned() }
+        }
+        ["v1", "tickets"] => Route::Tickets,
+        ["v1", "tickets", "plan"] => Route::Plan,
+        ["v1", "tickets", number] => Route::Ticket(number.parse().ok()?),
+        ["v1", "accounts"] => Route::Accounts,
+        ["v1", "accounts", name] => Route::Account((*name).to_owned()),
+        ["v1", "workers"] => Route::Workers,
+        ["v1", "jobs"] => Route::Jobs,
+        ["v1", "jobs", number] => Route::Job(number.parse().ok()?),
+        ["v1", "status"] => Route::Status,
+        _ => return None,
+    })
+}
+
+/// One part of a path, with its percent signs resolved.
+fn decode(part: &str) -> Option<String> {
+    let bytes: Vec<u8> = percent_encoding::percent_decode_str(part).collect();
+    let text = String::from_utf8(bytes).ok()?;
+    (!text.chars().any(char::is_control)).then_some(text)
+}
+
+fn bad(detail: impl Into<String>) -> verdict::Refusal {
+    verdict::Refusal::not_run(verdict::Reason::BadRequest, detail)
+}
+
+/// Checks the size of a head.
+pub fn check_head(request: &http::Request) -> Result<(), verdict::Refusal> {
+    let fields = request.headers().iter();
+    let size: usize = fields.map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    if size + request.uri().to_string().len() > MAX_HEAD {
+        return Err(bad(format!("the head is longer than {MAX_HEAD} bytes")));
+    }
+    Ok(())
+}
+
+/// Reads a query strictly.
+pub fn query<T: serde::de::DeserializeOwned>(
+    request: &http::Request,
+) -> Result<T, verdict::Refusal> {
+    let text = request.uri().query().unwrap_or_default();
+    serde_urlencoded::from_str(text).map_err(|error| bad(format!("query: {error}")))
+}
+
+/// Reads a body of at most `limit` bytes within `patience`.
+pub async fn body(
+    request: &mut http::Request,
+    limit: usize,
+    patience: time::Duration,
+) -> Result<Vec<u8>, verdict::Refusal> {
+    let declared = request.headers().get(header::CONTENT_LENGTH);
+    let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    let oversized = || bad(format!("the body is longer than {limit} bytes"));
+    if declared.is_some_and(|length| length > limit) {
+        return Err(oversized());
+    }
+    let mut payload = request.take_payload();
+    let read = async {
+        let mut bytes = Vec::with_capacity(declared.unwrap_or_default());
+        while let Some(piece) = payload.next().await {
+            let piece = piece.map_err(|error| bad(format!("the body broke off: {error}")))?;
+            if bytes.len() + piece.len() > limit {
+                return Err(oversized());
+            }
+            bytes.extend_from_slice(&piece);
+        }
+        Ok(bytes)
+    };
+    match tokio::time::timeout(patience, read).await {
+        Ok(result) => result,
+        Err(_) => Err(bad("the body did not arrive in time")),
+    }
+}
+
+/// Reads a JSON body.
+pub async fn json<T: serde::de::DeserializeOwned>(
+    request: &mut http::Request,
+    limit: usize,
+    patience: time::Duration,
+) -> Result<T, verdict::Refusal> {
+    let bytes = body(request, limit, patience).await?;
+    document::parse(&bytes).map_err(|error| bad(error.to_string()))
+}
--- /dev/null
+++ b/src/entry/link.rs
@@ -0,0 +1,334 @@
+//! The entry's link to the leading control replica: calls with a patience, and what is pushed.
+//!
+//! This is the one layer of the path that sends again. A call that is sent again carries the same
+//! key or number, so that control can tell; where an earlier send is unanswered, a later `not-run`
+//! is not believed, since the earlier one may still arrive.
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::time;
+
+use tokio::sync::watch;
+
+use crate::core::account;
+use crate::core::limit;
+use crate::core::verdict;
+use crate::entry::seek;
+use crate::entry::session;
+use crate::entry::tally;
+use crate::telemetry::event;
+use crate::wire::common;
+use crate::wire::entry as wire;
+
+/// How long the leader may take to answer a call that does not wait.
+const REPLY_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// The pause before a call that control could not decide is sent again.
+const RESEND_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// The first pause between searches for a leader.
+const SEEK_PAUSE: time::Duration = time::Duration::from_millis(25);
+
+/// The longest pause between searches for a leader.
+const SEEK_PAUSE_LIMIT: time::Duration = time::Duration::from_millis(800);
+
+macro_rules! stopped {
+    ($link:expr) => {
+        async {
+            let mut stop = $link.stop.subscribe();
+            let _ = stop.wait_for(|stop| *stop).await;
+        }
+    };
+}
+
+/// A call without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lost {
+    /// Whether it was sent to a replica at all.
+    pub sent: bool,
+}
+
+impl Lost {
+    /// The refusal towards the caller of something that may change state.
+    pub fn refusal(self) -> verdict::Refusal {
+        let reason = verdict::Reason::NoControl;
+        if self.sent {
+            verdict::Refusal::may_have_run(reason, "sent, but not answered in time")
+        } else {
+            verdict::Refusal::not_run(reason, "no leader was found in time")
+        }
+    }
+}
+
+/// The link. One task keeps it up; [`Link::stop`] joins that task.
+pub struct Link {
+    replicas: Vec<net::SocketAddr>,
+    cell: u16,
+    entry: u64,
+    current: watch::Sender<Option<rc::Rc<session::Session>>>,
+    config: cell::RefCell<Option<rc::Rc<account::Config>>>,
+    budget: cell::RefCell<limit::RetryBudget>,
+    tally: cell::RefCell<tally::Tally>,
+    stop: watch::Sender<bool>,
+    task: cell::RefCell<Option<actix_rt::task::JoinHandle<()>>>,
+}
+
+impl Link {
+    /// Starts the link. `entry` is the random identity of this process.
+    pub fn start(replicas: Vec<net::SocketAddr>, cell: u16, entry: u64) -> rc::Rc<Self> {
+        let link = rc::Rc::new(Self {
+            replicas,
+            cell,
+            entry,
+            current: watch::Sender::new(None),
+            config: cell::RefCell::default(),
+            budget: cell::RefCell::default(),
+            tally: cell::RefCell::default(),
+            stop: watch::Sender::new(false),
+            task: cell::RefCell::default(),
+        });
+        let task = actix_rt::spawn(keep(link.clone()));
+        link.task.replace(Some(task));
+        link
+    }
+
+    /// Ends the session and joins the task.
+    pub async fn stop(&self) {
+        self.stop.send_replace(true);
+        let task = self.task.take();
+        if let Some(task) = task {
+            let _ = task.await;
+        }
+    }
+
+    /// The newest configuration control has pushed.
+    pub fn config(&self) -> Option<rc::Rc<account::Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Whether a leader has welcomed this entry and the session stands.
+    pub fn is_up(&self) -> bool {
+        self.current.borrow().is_some()
+    }
+
+    /// The refusals counted here that control has not stored yet.
+    pub fn tally(&self) -> cell::RefMut<'_, tally::Tally> {
+        self.tally.borrow_mut()
+    }
+
+    /// Sends the open report of refusals, if there is one and a leader.
+    pub fn report(&self) {
+        let Some(session) = self.current.borrow().clone() else { return };
+        if let Some(report) = self.tally.borrow_mut().report() {
+            session.tell(&report);
+        }
+    }
+
+    /// Calls control and waits for one reply, for `patience` in all.
+    pub async fn call(
+        &self,
+        trace: &common::Trace,
+        body: wire::Call,
+        patience: time::Duration,
+    ) -> Result<wire::Reply, Lost> {
+        let deadline = tokio::time::Instant::now() + patience;
+        let mut lost = Lost { sent: false };
+        loop {
+            let doubt = lost.sent;
+            let mut exchange = self.exchange(trace, &body, deadline, &mut lost).await?;
+            let limit = deadline.min(tokio::time::Instant::now() + reply_time(&body));
+            match tokio::time::timeout_at(limit, exchange.reply()).await {
+                Ok(Some(reply)) if undecided(&reply) => {
+                    let pause = tokio::time::sleep(RESEND_PAUSE);
+                    if tokio::time::timeout_at(deadline, pause).await.is_err() {
+                        return Ok(reply);
+                    }
+                }
+                Ok(Some(reply)) if doubt => return Ok(doubted(&body, reply)),
+                Ok(Some(reply)) => return Ok(reply),
+                Ok(None) => {}
+                Err(_) if limit < deadline => self.suspect(),
+                Err(_) => return Err(lost),
+            }
+        }
+    }
+
+    /// Sends a call as soon as there is a leader, before `deadline`. A call whose `lost` says that
+    /// it was sent before takes from the retry budget, unless it only waits: a wait is taken up
+    /// again once for each leader, and a caller sent away would ask again all the same.
+    pub async fn exchange(
+        &self,
+        trace: &common::Trace,
+        body: &wire::Call,
+        deadline: tokio::time::Instant,
+        lost: &mut Lost,
+    ) -> Result<session::Exchange, Lost> {
+        let wait = matches!(body, wire::Call::Fetch { .. });
+        if !lost.sent {
+            self.budget.borrow_mut().deposit();
+        } else if !wait && !self.budget.borrow_mut().withdraw() {
+            return Err(*lost);
+        }
+        loop {
+            let leader = tokio::time::timeout_at(deadline, self.session()).await;
+            let Ok(Some(session)) = leader else { return Err(*lost) };
+            lost.sent = true;
+            let call = session.call(trace.clone(), body.clone());
+            match tokio::time::timeout_at(deadline, call).await {
+                Ok(Some(exchange)) => return Ok(exchange),
+                // The stream closed under the call; the link will find the leader again.
+                Ok(None) => session.end(),
+                Err(_) => return Err(*lost),
+            }
+        }
+    }
+
+    /// The session with the leader, once there is one. None if the link is stopping.
+    async fn session(&self) -> Option<rc::Rc<session::Session>> {
+        let mut current = self.current.subscribe();
+        let open = |session: &Option<rc::Rc<session::Session>>| {
+            session.as_ref().is_some_and(|session| session.is_open())
+        };
+        let found = current.wait_for(open).await.ok()?;
+        found.clone()
+    }
+
+    /// Ends a session whose leader does not answer.
+    fn suspect(&self) {
+        let session = self.current.borrow().clone();
+        if let Some(session) = session {
+            event::entry::LEADER_SILENT.log(format_args!("addr={}", session.addr));
+            session.end();
+        }
+    }
+
+    /// Takes a configuration over unless it is older than the one held.
+    fn adopt(&self, config: common::Config) {
+        let held = self.revision();
+        let offered = config.revision;
+        if self.config.borrow().is_some() && offered <= held {
+            return;
+        }
+        match account::Config::try_from(config) {
+            Ok(config) => {
+                event::entry::CONFIG.log(format_args!("revision={offered} before={held}"));
+                self.config.replace(Some(rc::Rc::new(config)));
+            }
+            Err(error) => {
+                event::entry::CONFIG_REFUSED.log(format_args!("revision={offered} error={error}"));
+            }
+        }
+    }
+
+    fn revision(&self) -> u64 {
+        self.config.borrow().as_ref().map_or(0, |config| config.revision.0)
+    }
+
+    fn receive(&self, session: &session::Session, message: wire::Down) -> bool {
+        match message {
+            wire::Down::Welcome { .. } => {}
+            wire::Down::Config(config) => self.adopt(config),
+            wire::Down::Reply { id, body } => session.deliver(id, body),
+            wire::Down::RefusalsStored { sequence } => self.tally.borrow_mut().stored(sequence),
+            wire::Down::NotLeader { .. } => return false,
+        }
+        true
+    }
+}
+
+/// How long control may take to answer a call.
+fn reply_time(body: &wire::Call) -> time::Duration {
+    match body {
+        wire::Call::Fetch { wait, .. } => time::Duration::from_millis(*wait) + REPLY_TIMEOUT,
+        _ => REPLY_TIMEOUT,
+    }
+}
+
+/// Whether control itself could not tell: worth another try, as a new leader will know.
+fn undecided(reply: &wire::Reply) -> bool {
+    let no_control = verdict::Reason::NoControl.number();
+    matches!(reply, wire::Reply::Refused(refusal) if refusal.reason == no_control)
+}
+
+/// The reply to a call that was sent before without an answer: the earlier send may still arrive.
+fn doubted(body: &wire::Call, reply: wire::Reply) -> wire::Reply {
+    let wire::Reply::Refused(refusal) = reply else { return reply };
+    let submit = matches!(body, wire::Call::Submit(_));
+    let not_run = verdict::Verdict::NotRun;
+    match verdict::Refusal::try_from(refusal.clone()) {
+        Ok(known) if submit && known.verdict == not_run => {
+            let detail = format!("{}; an earlier send is unanswered", known.detail);
+            wire::Reply::Refused(verdict::Refusal::may_have_run(known.reason, detail).into())
+        }
+        _ => wire::Reply::Refused(refusal),
+    }
+}
+
+/// Finds the leader and serves the session, again and again, until the link stops.
+async fn keep(link: rc::Rc<Link>) {
+    let mut pause = SEEK_PAUSE;
+    loop {
+        let started = tokio::time::Instant::now();
+        let led = tokio::select! {
+            led = lead(&link) => led,
+            () = stopped!(link) => return,
+        };
+        // A session that stood for a while was sound: search again at once.
+        if led && started.elapsed() > SEEK_PAUSE_LIMIT {
+            pause = SEEK_PAUSE;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(jitter(pause)) => {}
+            () = stopped!(link) => return,
+        }
+        pause = (pause * 2).min(SEEK_PAUSE_LIMIT);
+    }
+}
+
+/// Finds the leader and serves its session until that ends. False if none was found.
+async fn lead(link: &Link) -> bool {
+    let hello = seek::Hello { cell: link.cell, entry: link.entry, revision: link.revision() };
+    let Some(mut found) = seek::find(&link.replicas, hello).await else { return false };
+    event::entry::LEADER.log(format_args!("addr={}", found.addr));
+    let session = rc::Rc::new(session::Session::new(found.addr, found.sender));
+    link.adopt(found.config);
+    // Ends the session also when this future is dropped.
+    let guard = Guard { link, session: session.clone() };
+    link.current.send_replace(Some(session.clone()));
+    link.report();
+    loop {
+        let message = tokio::select! {
+            message = found.receiver.receive() => message,
+            () = session.ended() => None,
+        };
+        let Some(message) = message else { break };
+        if !link.receive(&session, message) {
+            break;
+        }
+    }
+    event::entry::LEADER_LOST.log(format_args!("addr={}", found.addr));
+    drop(guard);
+    drop(found.connection);
+    true
+}
+
+struct Guard<'a> {
+    link: &'a Link,
+    session: rc::Rc<session::Session>,
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        self.link.current.send_replace(None);
+        self.session.end();
+    }
+}
+
+/// A random span between half of `pause` and the whole.
+fn jitter(pause: time::Duration) -> time::Duration {
+    let mut byte = [0];
+    // Without random bytes the pause is merely not spread.
+    let _ = getrandom::fill(&mut byte);
+    pause / 2 + pause / 512 * u32::from(byte[0])
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,1 +1,176 @@
 //! The entry: callers, operators and readers of the status page over HTTP/1.1.
+//!
+//! An entry keeps nothing that must survive. Calls go to the leading control replica over
+//! [`link`]; [`api`] leads each HTTP request to its handler in [`caller`], [`operator`] or
+//! [`public`].
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::time;
+
+use quick_error::quick_error;
+use tokio::sync::watch;
+
+use crate::net::http;
+use crate::settings;
+use crate::settings::entry;
+use crate::telemetry::event;
+use crate::telemetry::trace;
+use crate::wire::common;
+use crate::wire::entry as wire;
+
+mod access;
+mod answer;
+mod api;
+mod caller;
+pub mod document;
+pub mod hours;
+mod input;
+mod link;
+mod operator;
+pub mod page;
+pub mod plan;
+mod public;
+mod reply;
+mod seek;
+mod session;
+mod state;
+mod tally;
+mod ticket;
+pub mod view;
+
+/// The pause between two refreshes of the hours. The refresh also shows whether control answers.
+const REFRESH: time::Duration = time::Duration::from_secs(2);
+
+/// How long a refresh may take.
+const REFRESH_PATIENCE: time::Duration = time::Duration::from_millis(2_500);
+
+/// Look-ups of other hours that readers may have open at once.
+const LOOKUPS: usize = 4;
+
+/// How long a stopping entry tries to report its refusals.
+const REPORT_TIME: time::Duration = time::Duration::from_secs(1);
+
+quick_error! {
+    /// Why an entry did not start.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The settings can't be used.
+        Settings(source: settings::Error) {
+            display("settings: {}", source)
+            source(source)
+            from()
+        }
+        /// The address can't be listened on.
+        Listen(addr: net::SocketAddr, source: std::io::Error) {
+            display("can't listen on {}: {}; is another process there?", addr, source)
+            source(source)
+        }
+        /// The system gives no random numbers.
+        Random(source: getrandom::Error) {
+            display("no random numbers from the system: {}", source)
+            from()
+        }
+    }
+}
+
+/// A running entry.
+pub struct Entry {
+    state: rc::Rc<state::State>,
+    server: http::Server,
+    refresh: actix_rt::task::JoinHandle<()>,
+}
+
+impl Entry {
+    /// Opens the port and starts to look for control.
+    pub async fn start(settings: entry::Settings) -> Result<Self, Error> {
+        settings::Check::check(&settings)?;
+        let operators = settings.operator_digests()?;
+        let identity = getrandom::u64()?;
+        let state = rc::Rc::new(state::State {
+            limits: settings.limits,
+            operators,
+            link: link::Link::start(settings.control, settings.cell, identity),
+            hours: cell::RefCell::default(),
+            admission: cell::RefCell::default(),
+            started: time::Instant::now(),
+            lookups: tokio::sync::Semaphore::new(LOOKUPS),
+            ready: cell::Cell::new(true),
+            stopping: watch::Sender::new(false),
+        });
+        let api = rc::Rc::new(api::Api { state: state.clone() });
+        let bound = http::Server::bind(settings.listen, bounds(&settings.limits), api).await;
+        let server = match bound {
+            Ok(server) => server,
+            Err(error) => {
+                state.link.stop().await;
+                return Err(Error::Listen(settings.listen, error));
+            }
+        };
+        let refresh = actix_rt::spawn(refresh(state.clone()));
+        event::general::STARTED.log(format_args!("role=entry listen={}", server.addr()));
+        Ok(Self { state, server, refresh })
+    }
+
+    /// The address it listens on.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.server.addr()
+    }
+
+    /// The planned stop: says that it isn't ready, ends waits with a word that they may be taken
+    /// up again elsewhere, lets open requests end, reports its refusals and joins all tasks.
+    pub async fn stop(self) {
+        event::general::STOPPING.log(format_args!("role=entry"));
+        let limits = self.state.limits;
+        self.state.ready.set(false);
+        tokio::time::sleep(time::Duration::from_millis(limits.notice_ms)).await;
+        self.state.stopping.send_replace(true);
+        self.server.stop(time::Duration::from_millis(limits.stop_ms)).await;
+        let _ = self.refresh.await;
+        let _ = tokio::time::timeout(REPORT_TIME, report(&self.state)).await;
+        self.state.link.stop().await;
+        event::general::STOPPED.log(format_args!("role=entry"));
+    }
+}
+
+fn bounds(limits: &entry::Limits) -> http::Limits {
+    http::Limits {
+        connections: limits.connections,
+        head_timeout: time::Duration::from_millis(limits.head_ms),
+        write_timeout: time::Duration::from_millis(limits.write_ms),
+        ..http::Limits::default()
+    }
+}
+
+/// Keeps the copy of the hours new and reports refusals, until the entry stops.
+async fn refresh(state: rc::Rc<state::State>) {
+    loop {
+        state.link.report();
+        tokio::select! {
+            () = fetch_hours(&state) => {}
+            () = state.stopped() => return,
+        }
+        tokio::select! {
+            () = tokio::time::sleep(REFRESH) => {}
+            () = state.stopped() => return,
+        }
+    }
+}
+
+async fn fetch_hours(state: &state::State) {
+    let span = hours::Span::around(state::now());
+    let call = wire::Call::Hours { from: span.from.0, until: span.until.0 };
+    let trace = common::Trace::from(trace::Context::NONE);
+    if let Ok(wire::Reply::Hours(hours)) = state.link.call(&trace, call, REFRESH_PATIENCE).await {
+        state.hours.borrow_mut().set(hours);
+    }
+}
+
+/// Reports refusals until control has stored them all.
+async fn report(state: &state::State) {
+    while !state.link.tally().is_empty() {
+        state.link.report();
+        tokio::time::sleep(REPORT_TIME / 20).await;
+    }
+}
--- /dev/null
+++ b/src/entry/operator.rs
@@ -0,0 +1,191 @@
+//! Operators: tickets, accounts, workers, jobs and the state of the control group.
+
+use std::collections::BTreeMap;
+
+use actix_http::StatusCode;
+
+use crate::core::account;
+use crate::core::ledger::command;
+use crate::core::verdict;
+use crate::entry::caller;
+use crate::entry::document;
+use crate::entry::input;
+use crate::entry::plan;
+use crate::entry::reply;
+use crate::entry::state;
+use crate::entry::view;
+use crate::net::http;
+use crate::telemetry::trace;
+use crate::wire::common;
+use crate::wire::entry as wire;
+
+/// Jobs that are listed where no limit is given.
+const JOBS: u32 = 100;
+
+/// The most jobs that are listed.
+const JOBS_LIMIT: u32 = 1000;
+
+/// The query of a list of jobs.
+#[derive(Debug, Default, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Query {
+    account: String,
+    limit: Option<u32>,
+}
+
+/// `GET /v1/accounts`.
+#[derive(serde::Serialize)]
+struct Accounts {
+    revision: u64,
+    accounts: BTreeMap<String, document::Account>,
+}
+
+/// `GET /v1/workers`.
+#[derive(serde::Serialize)]
+struct Workers {
+    workers: Vec<view::Worker>,
+}
+
+/// `GET /v1/jobs`.
+#[derive(serde::Serialize)]
+struct Jobs {
+    jobs: Vec<view::Job>,
+}
+
+type Answer = Result<http::Response, http::Response>;
+
+fn bad(detail: impl Into<String>) -> http::Response {
+    reply::refused(&verdict::Refusal::not_run(verdict::Reason::BadRequest, detail))
+}
+
+fn ok(value: &impl serde::Serialize) -> Answer {
+    Ok(reply::json(StatusCode::OK, value))
+}
+
+async fn ticket(
+    state: &state::State,
+    request: &mut http::Request,
+) -> Result<command::Ticket, http::Response> {
+    let document: document::Ticket = input::json(request, input::MAX_TICKET, state.body_time())
+        .await
+        .map_err(|refusal| reply::refused(&refusal))?;
+    command::Ticket::try_from(document).map_err(|error| bad(error.to_string()))
+}
+
+/// `POST /v1/tickets`: applies a ticket.
+pub async fn apply(state: &state::State, mut request: http::Request, hop: &trace::Hop) -> Answer {
+    let ticket = ticket(state, &mut request).await?;
+    let (number, digest) = (ticket.number.0, document::hex(&ticket.digest));
+    let call = wire::Call::Ticket(common::Ticket::from(ticket));
+    match state.ask(hop, call, state.patience()).await? {
+        wire::Reply::Ticket { revision } => ok(&view::Accepted { number, digest, revision }),
+        _ => Err(state::misfit("ticket")),
+    }
+}
+
+/// `POST /v1/tickets/plan`: what a ticket would change.
+pub async fn plan(state: &state::State, mut request: http::Request, hop: &trace::Hop) -> Answer {
+    let ticket = ticket(state, &mut request).await?;
+    let config = config(state, hop).await?;
+    let group = group(state, hop).await?;
+    ok(&plan::plan(&ticket, &config, &group))
+}
+
+async fn config(state: &state::State, hop: &trace::Hop) -> Result<account::Config, http::Response> {
+    match state.ask(hop, wire::Call::Config, state.patience()).await? {
+        wire::Reply::Config(config) => {
+            account::Config::try_from(config).map_err(|_| state::misfit("config"))
+        }
+        _ => Err(state::misfit("config")),
+    }
+}
+
+async fn group(state: &state::State, hop: &trace::Hop) -> Result<wire::Status, http::Response> {
+    match state.ask(hop, wire::Call::Status, state.patience()).await? {
+        wire::Reply::Status(status) => Ok(status),
+        _ => Err(state::misfit("status")),
+    }
+}
+
+/// `GET /v1/tickets/{number}`: what became of a ticket's number.
+pub async fn ticket_record(state: &state::State, number: u64, hop: &trace::Hop) -> Answer {
+    match state.ask(hop, wire::Call::TicketShow(number), state.patience()).await? {
+        wire::Reply::TicketRecord(record) => ok(&view::TicketRecord::from(&record)),
+        _ => Err(state::misfit("ticket record")),
+    }
+}
+
+/// `GET /v1/accounts`.
+pub async fn accounts(state: &state::State, hop: &trace::Hop) -> Answer {
+    let config = config(state, hop).await?;
+    let accounts = config.accounts.values();
+    let named = accounts.map(|account| (account.name.clone(), account.into()));
+    ok(&Accounts { revision: config.revision.0, accounts: named.collect() })
+}
+
+/// `GET /v1/accounts/{name}`.
+pub async fn account(state: &state::State, name: &str, hop: &trace::Hop) -> Answer {
+    let config = config(state, hop).await?;
+    match config.accounts.get(name) {
+        Some(account) => ok(&document::Account::from(account)),
+        None => Err(unknown(format!("account {name}"))),
+    }
+}
+
+fn unknown(what: String) -> http::Response {
+    reply::refused(&verdict::Refusal::not_run(verdict::Reason::Unknown, what))
+}
+
+/// `GET /v1/workers`.
+pub async fn workers(state: &state::State, hop: &trace::Hop) -> Answer {
+    match state.ask(hop, wire::Call::Workers, state.patience()).await? {
+        wire::Reply::Workers(workers) => {
+            ok(&Workers { workers: workers.iter().map(view::Worker::from).collect() })
+        }
+        _ => Err(state::misfit("workers")),
+    }
+}
+
+/// `GET /v1/jobs`.
+pub async fn jobs(state: &state::State, request: http::Request, hop: &trace::Hop) -> Answer {
+    let query: Query = input::query(&request).map_err(|refusal| reply::refused(&refusal))?;
+    let limit = query.limit.unwrap_or(JOBS);
+    if limit == 0 || limit > JOBS_LIMIT {
+        return Err(bad(format!("limit: must be 1 to {JOBS_LIMIT}")));
+    }
+    let call = wire::Call::Jobs { account: query.account, limit };
+    match state.ask(hop, call, state.patience()).await? {
+        wire::Reply::Jobs(jobs) => ok(&Jobs { jobs: jobs.iter().map(view::Job::from).collect() }),
+        _ => Err(state::misfit("jobs")),
+    }
+}
+
+async fn find(
+    state: &state::State,
+    number: u64,
+    hop: &trace::Hop,
+) -> Result<wire::Job, http::Response> {
+    match state.ask(hop, wire::Call::JobShow(number), state.patience()).await? {
+        wire::Reply::Job(job) if job.job == number => Ok(job),
+        _ => Err(state::misfit("job")),
+    }
+}
+
+/// `GET /v1/jobs/{number}`.
+pub async fn job(state: &state::State, number: u64, hop: &trace::Hop) -> Answer {
+    ok(&view::Job::from(&find(state, number, hop).await?))
+}
+
+/// `DELETE /v1/jobs/{number}`: cancels it as its caller would.
+pub async fn cancel(state: &state::State, number: u64, hop: &trace::Hop) -> Answer {
+    let job = find(state, number, hop).await?;
+    let target = caller::Target { account: job.account, key: job.key };
+    Ok(caller::cancel_target(state, target, hop).await)
+}
+
+/// `GET /v1/status`: the control group, and who lags behind its revision.
+pub async fn status(state: &state::State, hop: &trace::Hop) -> Answer {
+    let status = group(state, hop).await?;
+    let held = state.link.config().map_or(0, |config| config.revision.0);
+    ok(&view::Status::new(&status, held))
+}
--- /dev/null
+++ b/src/entry/public.rs
@@ -0,0 +1,171 @@
+//! What anybody may read: the status page, its hours, health, readiness and metrics.
+
+use std::collections::BTreeMap;
+use std::time;
+
+use actix_http::StatusCode;
+
+use crate::core::time as core_time;
+use crate::core::verdict;
+use crate::entry::hours;
+use crate::entry::input;
+use crate::entry::page;
+use crate::entry::reply;
+use crate::entry::state;
+use crate::net::http;
+use crate::telemetry::metrics as names;
+use crate::telemetry::trace;
+use crate::wire::entry as wire;
+
+/// How long a reader waits for hours that this entry holds no copy of.
+const LOOKUP_PATIENCE: time::Duration = time::Duration::from_secs(2);
+
+/// The query of the status page.
+#[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Query {
+    /// The first hour wanted, in ms since 1970.
+    from: Option<u64>,
+    /// The end of the last hour wanted, in ms since 1970.
+    until: Option<u64>,
+}
+
+/// The hours as JSON.
+#[derive(serde::Serialize)]
+struct Hours<'a> {
+    as_of: Option<u64>,
+    age_ms: u64,
+    control_reachable: bool,
+    fresh: bool,
+    services: &'a BTreeMap<String, Vec<hours::Row>>,
+}
+
+/// Hours to be shown.
+struct Shown {
+    services: BTreeMap<String, Vec<hours::Row>>,
+    as_of: Option<core_time::Wall>,
+    age: time::Duration,
+    reachable: bool,
+    span: hours::Span,
+}
+
+/// `GET /`: the page.
+pub async fn page(
+    state: &state::State,
+    request: http::Request,
+    hop: &trace::Hop,
+) -> http::Response {
+    let shown = match shown(state, &request, hop).await {
+        Ok(shown) => shown,
+        Err(response) => return response,
+    };
+    let page = page::Page {
+        services: &shown.services,
+        as_of: shown.as_of,
+        age: shown.age,
+        reachable: shown.reachable,
+        span: shown.span,
+    };
+    reply::html(StatusCode::OK, page::render(&page))
+}
+
+/// `GET /v1/hours`: the same as JSON.
+pub async fn hours(
+    state: &state::State,
+    request: http::Request,
+    hop: &trace::Hop,
+) -> http::Response {
+    let shown = match shown(state, &request, hop).await {
+        Ok(shown) => shown,
+        Err(response) => return response,
+    };
+    let hours = Hours {
+        as_of: shown.as_of.map(|as_of| as_of.0),
+        age_ms: u64::try_from(shown.age.as_millis()).unwrap_or(u64::MAX),
+        control_reachable: shown.reachable,
+        fresh: shown.as_of.is_some() && shown.reachable && shown.age <= hours::FRESH,
+        services: &shown.services,
+    };
+    reply::json(StatusCode::OK, &hours)
+}
+
+async fn shown(
+    state: &state::State,
+    request: &http::Request,
+    hop: &trace::Hop,
+) -> Result<Shown, http::Response> {
+    let query: Query = input::query(request).map_err(|refusal| reply::refused(&refusal))?;
+    match (query.from, query.until) {
+        (None, None) => Ok(copy(state)),
+        (Some(from), Some(until)) => look_up(state, from, until, hop).await,
+        _ => Err(bad("from and until: give both or none")),
+    }
+}
+
+fn bad(detail: &str) -> http::Response {
+    reply::refused(&verdict::Refusal::not_run(verdict::Reason::BadRequest, detail))
+}
+
+/// The copy this entry holds, however old.
+fn copy(state: &state::State) -> Shown {
+    let span = hours::Span::around(state::now());
+    let cache = state.hours.borrow();
+    let (services, as_of, age) = match cache.get() {
+        Some((copy, age)) => (hours::rows(copy, span), Some(core_time::Wall(copy.as_of)), age),
+        None => (BTreeMap::new(), None, time::Duration::ZERO),
+    };
+    Shown { services, as_of, age, reachable: state.link.is_up(), span }
+}
+
+async fn look_up(
+    state: &state::State,
+    from: u64,
+    until: u64,
+    hop: &trace::Hop,
+) -> Result<Shown, http::Response> {
+    let limit = hours::SPAN_LIMIT;
+    let span = hours::Span::checked(from, until)
+        .ok_or_else(|| bad(&format!("from and until: must span 1 to {limit} hours")))?;
+    let Ok(_permit) = state.lookups.try_acquire() else {
+        let detail = "too many readers ask for other hours";
+        let refusal = verdict::Refusal::not_run(verdict::Reason::Overloaded, detail);
+        return Err(reply::refused(&refusal));
+    };
+    let call = wire::Call::Hours { from: span.from.0, until: span.until.0 };
+    match state.ask(hop, call, LOOKUP_PATIENCE).await? {
+        wire::Reply::Hours(hours) => Ok(Shown {
+            services: hours::rows(&hours, span),
+            as_of: Some(core_time::Wall(hours.as_of)),
+            age: time::Duration::ZERO,
+            reachable: true,
+            span,
+        }),
+        _ => Err(state::misfit("hours")),
+    }
+}
+
+/// `GET /healthz`: the process lives.
+pub fn health() -> http::Response {
+    reply::text(StatusCode::OK, "ok\n")
+}
+
+/// `GET /readyz`: whether the balancer should send callers here. An entry that has lost control
+/// stays ready: it still serves the status page, and refuses callers honestly.
+pub fn ready(state: &state::State) -> http::Response {
+    let why = match (state.ready.get(), state.link.config().is_some()) {
+        (false, _) => "stopping\n",
+        (_, false) => "no configuration yet\n",
+        _ => return reply::text(StatusCode::OK, "ready\n"),
+    };
+    reply::text(StatusCode::SERVICE_UNAVAILABLE, why)
+}
+
+/// `GET /metrics`: Prometheus' text form.
+pub fn metrics(state: &state::State) -> http::Response {
+    let up = if state.link.is_up() { 1.0 } else { 0.0 };
+    metrics::gauge!(names::CONTROL_REACHABLE).set(up);
+    let revision = state.link.config().map_or(0, |config| config.revision.0);
+    metrics::gauge!(names::REVISION).set(revision as f64);
+    let kind = "text/plain; version=0.0.4; charset=utf-8";
+    reply::with_type(StatusCode::OK, kind, names::render())
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -10,6 +10,9 @@
 use actix_service::Service as _;
 use actix_service::ServiceFactory as _;
 use futures_util::future::LocalBoxFuture;
+use tokio::sync::watch;
+
+use crate::net::stall;
 
 /// A request as it arrives; the body is a stream that the handler reads.
 pub type Request = actix_http::Request;
@@ -32,6 +35,8 @@
     pub head_timeout: time::Duration,
     /// How long an idle connection is kept.
     pub keep_alive: time::Duration,
+    /// How long a client may accept nothing while bytes wait for it.
+    pub write_timeout: time::Duration,
 }
 
 impl Default for Limits {
@@ -40,6 +45,7 @@
             connections: 1024,
             head_timeout: time::Duration::from_secs(5),
             keep_alive: time::Duration::from_secs(15),
+            write_timeout: time::Duration::from_secs(10),
         }
     }
 }
@@ -51,6 +57,7 @@
     addr: net::SocketAddr,
     accept: actix_rt::task::JoinHandle<()>,
     tasks: Tasks,
+    stopping: watch::Sender<bool>,
 }
 
 impl Server {
@@ -63,8 +70,9 @@
         let listener = tokio::net::TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
         let tasks = Tasks::default();
-        let accept = actix_rt::spawn(accept_loop(listener, limits, handler, tasks.clone()));
-        Ok(Self { addr, accept, tasks })
+        let stopping = watch::Sender::new(false);
+        let accept = accept_loop(listener, limits, handler, tasks.clone(), stopping.clone());
+        Ok(Self { addr, accept: actix_rt::spawn(accept), tasks, stopping })
     }
 
     /// The address it listens on.
@@ -72,10 +80,12 @@
         self.addr
     }
 
-    /// Stops listening, gives open connections `grace` to end, and joins all tasks.
+    /// Stops listening, closes idle connections, gives open requests `grace` to end, and joins all
+    /// tasks.
     pub async fn stop(self, grace: time::Duration) {
         self.accept.abort();
         let _ = self.accept.await;
+        self.stopping.send_replace(true);
         let deadline = tokio::time::Instant::now() + grace;
         let tasks = self.tasks.take();
         for mut task in tasks {
@@ -92,6 +102,7 @@
     limits: Limits,
     handler: rc::Rc<dyn Handler>,
     tasks: Tasks,
+    stopping: watch::Sender<bool>,
 ) {
     let service = move |request: Request| {
         let response = handler.handle(request);
@@ -100,8 +111,8 @@
     let factory = actix_http::HttpService::build()
         .client_request_timeout(limits.head_timeout)
         .keep_alive(limits.keep_alive)
-        .h1(service.into_factory())
-        .tcp();
+        .graceful_shutdown_signal(move || stopped(stopping.subscribe()))
+        .h1(service.into_factory());
     let Ok(server) = factory.new_service(()).await else { return };
     let server = rc::Rc::new(server);
     loop {
@@ -117,7 +128,7 @@
             continue;
         }
         let _ = socket.set_nodelay(true);
-        let call = server.call(socket);
+        let call = server.call((stall::Stall::new(socket, limits.write_timeout), Some(peer)));
         tasks.push(actix_rt::spawn(async move {
             if let Err(error) = call.await {
                 tracing::debug!(?error, "http connection ended");
@@ -125,3 +136,9 @@
         }));
     }
 }
+
+/// Resolves once the server stops.
+async fn stopped(mut stopping: watch::Receiver<bool>) {
+    // An error means that the server is gone, which is a stop as well.
+    let _ = stopping.wait_for(|stopping| *stopping).await;
+}
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -2,7 +2,9 @@
 
 use std::net;
 
+use crate::core::time;
 use crate::settings;
+use crate::settings::telemetry;
 
 /// Settings of `hemlockcleat-entry`.
 #[derive(Clone, Debug, serde::Deserialize)]
@@ -21,13 +23,107 @@
     pub control: Vec<net::SocketAddr>,
     /// SHA-256 digests, in hexadecimal, of the tokens that prove an operator.
     pub operators: Vec<String>,
+    /// Bounds; each has a default.
+    #[serde(default)]
+    pub limits: Limits,
+    /// The log and the traces.
+    #[serde(default)]
+    pub telemetry: telemetry::Telemetry,
+}
+
+/// Bounds of an entry.
+#[derive(Clone, Copy, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Connections at once.
+    pub connections: usize,
+    /// How long a client may take to send a head, in milliseconds.
+    pub head_ms: u64,
+    /// How long a client may take to send a body, in milliseconds.
+    pub body_ms: u64,
+    /// How long a client may take to accept the next bytes of a response, in milliseconds.
+    pub write_ms: u64,
+    /// How long a call may take to reach control and be answered, in milliseconds.
+    pub patience_ms: u64,
+    /// The longest `wait` of a caller, in milliseconds.
+    pub wait_ms: u64,
+    /// How long a stopping entry says that it isn't ready before it stops listening, in
+    /// milliseconds, so that the balancer can send new callers elsewhere.
+    pub notice_ms: u64,
+    /// How long a stopping entry gives open requests to end, in milliseconds.
+    pub stop_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 1024,
+            head_ms: 5_000,
+            body_ms: 10_000,
+            write_ms: 10_000,
+            patience_ms: 5_000,
+            wait_ms: 60_000,
+            notice_ms: 0,
+            stop_ms: 10_000,
+        }
+    }
+}
+
+impl Limits {
+    fn spans(&self) -> [(&'static str, u64); 6] {
+        [
+            ("limits.head_ms", self.head_ms),
+            ("limits.body_ms", self.body_ms),
+            ("limits.write_ms", self.write_ms),
+            ("limits.patience_ms", self.patience_ms),
+            ("limits.wait_ms", self.wait_ms),
+            ("limits.stop_ms", self.stop_ms),
+        ]
+    }
+}
+
+impl Settings {
+    /// The operators' token digests as bytes.
+    pub fn operator_digests(&self) -> Result<Vec<[u8; 32]>, settings::Error> {
+        let digest = |(index, text): (usize, &String)| {
+            parse_digest(text).ok_or_else(|| {
+                let field = format!("operators[{index}]");
+                settings::value_error(field, "must be a SHA-256 digest of 64 hexadecimal digits")
+            })
+        };
+        self.operators.iter().enumerate().map(digest).collect()
+    }
+}
+
+/// Reads a SHA-256 digest from 64 hexadecimal digits.
+pub fn parse_digest(text: &str) -> Option<[u8; 32]> {
+    if text.len() != 64 || !text.bytes().all(|digit| digit.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut digest = [0; 32];
+    for (index, byte) in digest.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(digest)
 }
 
 impl settings::Check for Settings {
     fn check(&self) -> Result<(), settings::Error> {
+        if self.name.is_empty() {
+            return Err(settings::value_error("name", "must not be empty"));
+        }
         if self.control.is_empty() {
             return Err(settings::value_error("control", "must name a control replica"));
         }
+        if self.limits.connections == 0 {
+            return Err(settings::value_error("limits.connections", "must be 1 or more"));
+        }
+        for (field, span) in self.limits.spans() {
+            if span == 0 || time::Millis(span) > time::HOUR {
+                return Err(settings::value_error(field, "must be 1 to 3600000 milliseconds"));
+            }
+        }
+        self.operator_digests()?;
         Ok(())
     }
 }
--- /dev/null
+++ b/tests/testsuite/entry.rs
@@ -0,0 +1,112 @@
+//! The entry with one sound control replica: routes, proofs, refusals and answers.
+
+use hemlockcleat::entry;
+use hemlockcleat::settings;
+use rstest::rstest;
+use serde_json::json;
+
+use crate::support;
+use crate::support::fake_control;
+use crate::support::http_client;
+
+pub const REQUEST: &str = "/v1/accounts/swan-coast/requests/r1";
+
+/// Settings of an entry with these control replicas.
+pub fn settings(control: &[std::net::SocketAddr]) -> settings::entry::Settings {
+    use sha2::Digest as _;
+    let digest = sha2::Sha256::digest(fake_control::TOKEN);
+    let digest: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    let settings = json!({
+        "name": "entry-1",
+        "data_center": "perth-1",
+        "listen": "127.0.0.1:0",
+        "control": control,
+        "operators": [digest],
+        "limits": {"patience_ms": 1500, "head_ms": 400, "body_ms": 400, "write_ms": 400},
+    });
+    settings::parse(&settings.to_string()).expect("sound settings")
+}
+
+/// Runs a test body with an entry that is ready, and its control.
+pub fn with_entry(body: impl AsyncFnOnce(&fake_control::FakeControl, &entry::Entry)) {
+    support::run(async {
+        let control = fake_control::FakeControl::start().await;
+        let entry = entry::Entry::start(settings(&[control.addr()])).await.expect("an entry");
+        ready(&entry).await;
+        body(&control, &entry).await;
+        entry.stop().await;
+        control.stop().await;
+    });
+}
+
+/// Waits until the entry is ready.
+pub async fn ready(entry: &entry::Entry) {
+    while http_client::send(entry.addr(), "GET", "/readyz", "", "").await.status != 200 {
+        tokio::task::yield_now().await;
+    }
+}
+
+pub fn submission() -> serde_json::Value {
+    json!({"service": "booking", "kind": "rebuild", "tasks": 2, "accelerators": 4,
+           "adjacency": "rack", "run_time_ms": 1000, "payload": "round 7"})
+}
+
+pub async fn submit(entry: &entry::Entry, path: &str) -> http_client::Reply {
+    let body = submission().to_string();
+    http_client::send(entry.addr(), "PUT", path, fake_control::TOKEN, &body).await
+}
+
+pub async fn get(entry: &entry::Entry, path: &str) -> http_client::Reply {
+    http_client::send(entry.addr(), "GET", path, fake_control::TOKEN, "").await
+}
+
+#[test]
+fn submit_accepted() {
+    with_entry(async |control, entry| {
+        let reply = submit(entry, REQUEST).await;
+        assert_eq!(reply.status, 202, "{reply:?}");
+        assert_eq!(reply.json()["phase"], "queued");
+        assert_eq!(submit(entry, REQUEST).await.json()["job"], 1);
+        assert_eq!(control.submissions(), 2);
+    });
+}
+
+#[test]
+fn answer_whole_with_digest() {
+    with_entry(async |control, entry| {
+        let answer: Vec<u8> = (0..70_001u32).map(|byte| byte as u8).collect();
+        control.finish("swan-coast", "r1", &answer);
+        let reply = get(entry, &format!("{REQUEST}/answer?wait=1000")).await;
+        assert_eq!(reply.status, 200);
+        assert!(reply.whole);
+        assert_eq!(reply.body, answer);
+        assert_eq!(reply.header("hemlockcleat-sha256").map(str::len), Some(64));
+    });
+}
+
+#[test]
+fn answer_pending_is_no_success() {
+    with_entry(async |_, entry| {
+        submit(entry, REQUEST).await;
+        let reply = get(entry, &format!("{REQUEST}/answer")).await;
+        assert_eq!(reply.status, 409);
+        assert_eq!(reply.json()["phase"], "queued");
+    });
+}
+
+#[rstest]
+#[case::wrong_token("/v1/accounts/swan-coast/requests/r1", "wrong")]
+#[case::unknown_account("/v1/accounts/abyssinia/requests/r1", fake_control::TOKEN)]
+#[case::empty_token("/v1/accounts/swan-coast/requests/r1", "")]
+#[case::operator("/v1/status", "wrong")]
+fn access_refused(#[case] path: &str, #[case] token: &str) {
+    with_entry(async |control, entry| {
+        let reply = http_client::send(entry.addr(), "GET", path, token, "").await;
+        assert_eq!(reply.status, 401);
+        let refusal = json!({"verdict": "not-run", "reason": 2,
+                             "message": "the token does not permit this",
+                             "detail": "send a bearer token that does", "retryable": false});
+        assert_eq!(reply.json(), refusal);
+        assert!(control.shared.calls.borrow().is_empty());
+    });
+}
--- /dev/null
+++ b/tests/testsuite/entry_faults.rs
@@ -0,0 +1,350 @@
+//! The entry while control fails: silent, slow, crossed, half answered, never leading.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use hemlockcleat::entry;
+use hemlockcleat::wire::entry as wire;
+use rstest::rstest;
+
+use crate::entry as cases;
+use crate::support;
+use crate::support::fake_control;
+use crate::support::http_client;
+
+/// What becomes of one call.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// No answer, the stream stays.
+    Silent,
+    /// The stream closes.
+    Closed,
+    /// The replica says that it does not lead.
+    NotLeader,
+    /// The answer goes to a call nobody made.
+    Crossed,
+    /// The answer is of another kind.
+    Misfit,
+    /// Control can't tell.
+    Undecided,
+}
+
+impl Fault {
+    fn act(self, id: u64, shared: &fake_control::Shared, call: &wire::Call) -> fake_control::Act {
+        use fake_control::Act;
+        match self {
+            Fault::Silent => Act::Send(Vec::new()),
+            Fault::Closed => Act::Close,
+            Fault::NotLeader => Act::Send(vec![wire::Down::NotLeader { leader: None }]),
+            Fault::Crossed => Act::Send(shared.usual(id + 1000, call)),
+            Fault::Misfit => {
+                let body = wire::Reply::Workers(Vec::new());
+                Act::Send(vec![wire::Down::Reply { id, body }])
+            }
+            Fault::Undecided => {
+                let body = fake_control::refused(1, 7);
+                Act::Send(vec![wire::Down::Reply { id, body }])
+            }
+        }
+    }
+}
+
+/// Fails the first `count` submissions, or all of them.
+fn fail_submits(control: &fake_control::FakeControl, fault: Fault, count: usize) {
+    let shared = rc::Rc::downgrade(&control.shared);
+    let seen = cell::Cell::new(0);
+    control.script(move |id, call| {
+        let wire::Call::Submit(_) = call else { return fake_control::Act::Usual };
+        seen.set(seen.get() + 1);
+        if seen.get() > count {
+            return fake_control::Act::Usual;
+        }
+        let shared = shared.upgrade().expect("the fake lives");
+        fault.act(id, &shared, call)
+    });
+}
+
+#[rstest]
+#[case::closed(Fault::Closed)]
+#[case::not_leader(Fault::NotLeader)]
+#[case::undecided(Fault::Undecided)]
+fn submit_sent_again_after_one(#[case] fault: Fault) {
+    cases::with_entry(async |control, entry| {
+        fail_submits(control, fault, 1);
+        let reply = cases::submit(entry, cases::REQUEST).await;
+        assert_eq!(reply.status, 202, "{reply:?}");
+        assert_eq!(control.submissions(), 2);
+    });
+}
+
+#[rstest]
+#[case::silent(Fault::Silent)]
+#[case::closed(Fault::Closed)]
+#[case::not_leader(Fault::NotLeader)]
+#[case::crossed(Fault::Crossed)]
+#[case::misfit(Fault::Misfit)]
+#[case::undecided(Fault::Undecided)]
+fn submit_may_have_run(#[case] fault: Fault) {
+    cases::with_entry(async |control, entry| {
+        fail_submits(control, fault, usize::MAX);
+        let reply = cases::submit(entry, cases::REQUEST).await;
+        assert_eq!(reply.status, 503, "{reply:?}");
+        assert_eq!(reply.json()["verdict"], "may-have-run");
+        assert_eq!(reply.json()["reason"], 7);
+        assert!(reply.header("retry-after").is_some());
+    });
+}
+
+#[test]
+fn submit_not_run_where_none_leads() {
+    cases::with_entry(async |control, entry| {
+        control.shared.leads.set(false);
+        // The session ends with the next call; then no replica leads.
+        while cases::get(entry, "/v1/status").await.status != 503 {}
+        let reply = cases::submit(entry, cases::REQUEST).await;
+        assert_eq!(reply.status, 503, "{reply:?}");
+        assert_eq!(reply.json()["verdict"], "not-run");
+        assert_eq!(control.submissions(), 0);
+        let reply = cases::submit(entry, &format!("{}?resend=true", cases::REQUEST)).await;
+        assert_eq!(reply.json()["verdict"], "may-have-run");
+        control.shared.leads.set(true);
+        while control.shared.refusals.borrow().is_empty() {
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+        let refusals = control.shared.refusals.borrow();
+        let wire::Up::Refusals { sequence: 1, counts } = &refusals[0] else {
+            panic!("another report: {refusals:?}");
+        };
+        assert_eq!((counts[0].0.as_str(), counts[0].2), ("booking", 1));
+    });
+}
+
+#[test]
+fn submit_refused_after_silence_is_doubted() {
+    cases::with_entry(async |control, entry| {
+        let mut first = true;
+        control.script(move |id, call| {
+            let wire::Call::Submit(_) = call else { return fake_control::Act::Usual };
+            if std::mem::take(&mut first) {
+                return fake_control::Act::Close;
+            }
+            let body = fake_control::refused(0, 6);
+            fake_control::Act::Send(vec![wire::Down::Reply { id, body }])
+        });
+        let reply = cases::submit(entry, cases::REQUEST).await;
+        assert_eq!(reply.status, 429, "{reply:?}");
+        assert_eq!(reply.json()["verdict"], "may-have-run");
+    });
+}
+
+#[test]
+fn replies_out_of_order_reach_their_callers() {
+    cases::with_entry(async |control, entry| {
+        let held = rc::Rc::new(cell::RefCell::new(Vec::new()));
+        let shared = rc::Rc::downgrade(&control.shared);
+        control.script(move |id, call| {
+            let wire::Call::Submit(_) = call else { return fake_control::Act::Usual };
+            let mut held = held.borrow_mut();
+            let mut replies = shared.upgrade().expect("the fake lives").usual(id, call);
+            // A doubled reply is dropped.
+            replies.push(replies[0].clone());
+            held.push(replies);
+            if held.len() < 3 {
+                return fake_control::Act::Send(Vec::new());
+            }
+            fake_control::Act::Send(held.drain(..).rev().flatten().collect())
+        });
+        let paths = ["a", "b", "c"].map(|key| format!("/v1/accounts/swan-coast/requests/{key}"));
+        let submits = paths.iter().map(|path| cases::submit(entry, path));
+        let replies = futures_util::future::join_all(submits).await;
+        let keys: Vec<_> = replies.iter().map(|reply| reply.json()["key"].clone()).collect();
+        assert_eq!(keys, ["a", "b", "c"]);
+    });
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    /// A chunk is left out.
+    Hole,
+    /// The last chunk says that more follows.
+    Endless,
+    /// The answer ends early.
+    Short,
+    /// A byte differs.
+    Corrupt,
+    /// Nothing comes.
+    Silent,
+    /// The stream closes after the first chunk.
+    Closed,
+}
+
+fn cut(cut: Cut, id: u64, bytes: &[u8], offset: usize) -> fake_control::Act {
+    let mut chunks = fake_control::chunks(id, bytes, offset, 1000);
+    match cut {
+        Cut::Hole => {
+            chunks.remove(1.min(chunks.len() - 1));
+        }
+        Cut::Endless | Cut::Short | Cut::Corrupt => {
+            let last = chunks.pop();
+            if let Some(wire::Down::Reply {
+                body: wire::Reply::Chunk { offset, bytes, .. }, ..
+            }) = last
+            {
+                chunks.push(tail(cut, id, offset, bytes));
+            }
+        }
+        Cut::Silent => chunks.clear(),
+        Cut::Closed => return fake_control::Act::Close,
+    }
+    fake_control::Act::Send(chunks)
+}
+
+fn tail(cut: Cut, id: u64, offset: u64, mut bytes: Vec<u8>) -> wire::Down {
+    match cut {
+        Cut::Short => drop(bytes.pop()),
+        Cut::Corrupt => bytes[0] ^= 1,
+        _ => {}
+    }
+    let last = !matches!(cut, Cut::Endless);
+    wire::Down::Reply { id, body: wire::Reply::Chunk { offset, bytes, last } }
+}
+
+/// Damages the first `count` answers, or all of them.
+fn damage(control: &fake_control::FakeControl, fault: Cut, answer: Vec<u8>, count: usize) {
+    control.finish("swan-coast", "r1", &answer);
+    let mut seen = 0;
+    control.script(move |id, call| {
+        let wire::Call::Answer { offset, .. } = call else { return fake_control::Act::Usual };
+        seen += 1;
+        if seen > count {
+            return fake_control::Act::Usual;
+        }
+        cut(fault, id, &answer, *offset as usize)
+    });
+}
+
+#[rstest]
+#[case::hole(Cut::Hole)]
+#[case::endless(Cut::Endless)]
+#[case::short(Cut::Short)]
+#[case::corrupt(Cut::Corrupt)]
+#[case::silent(Cut::Silent)]
+#[case::closed(Cut::Closed)]
+fn answer_damaged_is_never_whole(#[case] fault: Cut) {
+    cases::with_entry(async |control, entry| {
+        damage(control, fault, vec![7; 4500], usize::MAX);
+        let reply = cases::get(entry, &format!("{}/answer", cases::REQUEST)).await;
+        assert_eq!(reply.status, 200);
+        assert!(!reply.whole, "a damaged answer of {} bytes passed", reply.body.len());
+    });
+}
+
+#[rstest]
+#[case::hole(Cut::Hole)]
+#[case::short(Cut::Short)]
+#[case::endless(Cut::Endless)]
+#[case::closed(Cut::Closed)]
+fn answer_damaged_once_is_asked_for_again(#[case] fault: Cut) {
+    cases::with_entry(async |control, entry| {
+        damage(control, fault, vec![7; 4500], 1);
+        let reply = cases::get(entry, &format!("{}/answer", cases::REQUEST)).await;
+        assert!(reply.whole);
+        assert_eq!(reply.body, vec![7; 4500]);
+    });
+}
+
+#[test]
+fn leader_found_by_hint_and_after_change() {
+    support::run(async {
+        let follower = fake_control::FakeControl::start().await;
+        let leader = fake_control::FakeControl::start().await;
+        follower.shared.leads.set(false);
+        *follower.shared.leader.borrow_mut() = Some(leader.addr().to_string());
+        let settings = cases::settings(&[follower.addr()]);
+        let entry = entry::Entry::start(settings).await.expect("an entry");
+        cases::ready(&entry).await;
+        assert_eq!(cases::submit(&entry, cases::REQUEST).await.status, 202);
+        assert_eq!((follower.submissions(), leader.submissions()), (0, 1));
+        leader.shared.leads.set(false);
+        follower.shared.leads.set(true);
+        assert_eq!(cases::submit(&entry, cases::REQUEST).await.status, 202);
+        assert_eq!(follower.submissions(), 1);
+        entry.stop().await;
+        follower.stop().await;
+        leader.stop().await;
+    });
+}
+
+#[test]
+fn leader_frozen_is_left() {
+    support::run(async {
+        let frozen = fake_control::FakeControl::start().await;
+        let other = fake_control::FakeControl::start().await;
+        other.shared.leads.set(false);
+        let mut settings = cases::settings(&[frozen.addr(), other.addr()]);
+        settings.limits.patience_ms = 8_000;
+        let entry = entry::Entry::start(settings).await.expect("an entry");
+        cases::ready(&entry).await;
+        frozen.script(|_, _| fake_control::Act::Send(Vec::new()));
+        other.shared.leads.set(true);
+        let started = time::Instant::now();
+        assert_eq!(cases::submit(&entry, cases::REQUEST).await.status, 202);
+        assert!(started.elapsed() < time::Duration::from_secs(6));
+        assert_eq!(other.submissions(), 1);
+        entry.stop().await;
+        frozen.stop().await;
+        other.stop().await;
+    });
+}
+
+#[test]
+fn config_never_goes_back() {
+    cases::with_entry(async |control, entry| {
+        let push = |revision: u64, name: &str| {
+            let mut config = fake_control::config(revision);
+            config.accounts.push(fake_control::account(name, 1));
+            control.shared.config.send_replace(config);
+        };
+        push(3, "newer");
+        let path = "/v1/accounts/newer/requests/x";
+        while cases::get(entry, path).await.status != 404 {}
+        push(2, "older");
+        // The push has arrived once a later one has.
+        push(4, "newer");
+        while cases::get(entry, "/v1/status").await.json()["entry_revision"] != 4 {}
+        assert_eq!(cases::get(entry, path).await.status, 404);
+        let older = "/v1/accounts/older/requests/x";
+        assert_eq!(cases::get(entry, older).await.status, 401);
+    });
+}
+
+#[test]
+fn stop_gives_waiting_callers_a_word() {
+    support::run(async {
+        let control = fake_control::FakeControl::start().await;
+        let settings = cases::settings(&[control.addr()]);
+        let entry = entry::Entry::start(settings).await.expect("an entry");
+        cases::ready(&entry).await;
+        control.script(|_, call| match call {
+            wire::Call::Fetch { .. } => fake_control::Act::Send(Vec::new()),
+            _ => fake_control::Act::Usual,
+        });
+        let path = format!("{}?wait=60000", cases::REQUEST);
+        let addr = entry.addr();
+        let body = cases::submission().to_string();
+        let waiting = http_client::send(addr, "PUT", &path, fake_control::TOKEN, &body);
+        let stop = async {
+            while control.shared.calls.borrow().len() < 2 {
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+            entry.stop().await;
+        };
+        let (reply, ()) = tokio::join!(waiting, stop);
+        assert_eq!(reply.status, 503, "{reply:?}");
+        assert!(reply.whole);
+        assert_eq!(reply.json()["reason"], 14);
+        assert_eq!(reply.json()["verdict"], "may-have-run");
+        control.stop().await;
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
+mod entry;
+mod entry_faults;
 mod lease;
 mod limit;
 mod placement;
--- /dev/null
+++ b/tests/testsuite/support/fake_control.rs
@@ -0,0 +1,279 @@
+//! A control replica for tests of the entry: answers from memory, or as a script says.
+
+use std::cell;
+use std::collections::BTreeMap;
+use std::net;
+use std::rc;
+
+use futures_util::future::LocalBoxFuture;
+use hemlockcleat::net::stream;
+use hemlockcleat::wire::common;
+use hemlockcleat::wire::entry as wire;
+use sha2::Digest as _;
+use tokio::sync::watch;
+
+/// The token of the account `swan-coast` and, as an operator's, of the entry.
+pub const TOKEN: &str = "correct-token";
+
+/// What a script wants done with a call.
+pub enum Act {
+    /// Answer as usual.
+    Usual,
+    /// Send these messages instead.
+    Send(Vec<wire::Down>),
+    /// Close the stream.
+    Close,
+}
+
+type Script = Box<dyn FnMut(u64, &wire::Call) -> Act>;
+
+pub struct Shared {
+    /// Jobs by account and key.
+    pub jobs: cell::RefCell<BTreeMap<(String, String), wire::Job>>,
+    /// Answers by account and key.
+    pub answers: cell::RefCell<BTreeMap<(String, String), Vec<u8>>>,
+    /// Every call seen, but for those that the entry makes by itself.
+    pub calls: cell::RefCell<Vec<wire::Call>>,
+    /// The reports of refusals seen.
+    pub refusals: cell::RefCell<Vec<wire::Up>>,
+    /// Whether it leads; followers name this leader.
+    pub leader: cell::RefCell<Option<String>>,
+    pub leads: cell::Cell<bool>,
+    pub script: cell::RefCell<Script>,
+    /// The configuration, pushed when it changes.
+    pub config: watch::Sender<common::Config>,
+    /// The hours.
+    pub hours: cell::RefCell<wire::Hours>,
+}
+
+pub struct FakeControl {
+    server: stream::Server,
+    pub shared: rc::Rc<Shared>,
+}
+
+struct Replica(rc::Rc<Shared>);
+
+impl stream::Handler for Replica {
+    fn handle(&self, incoming: stream::Incoming) -> LocalBoxFuture<'static, ()> {
+        Box::pin(serve(self.0.clone(), incoming))
+    }
+}
+
+pub fn account(name: &str, queue_limit: u32) -> common::Account {
+    common::Account {
+        name: name.to_owned(),
+        guarantees: Vec::new(),
+        weight: 1,
+        queue_limit,
+        tokens: vec![sha2::Sha256::digest(TOKEN).into()],
+    }
+}
+
+pub fn config(revision: u64) -> common::Config {
+    let kind = |name: &str, class| common::Kind {
+        name: name.to_owned(),
+        class,
+        repeatable: true,
+        checkpoint: None,
+        answer_limit: 1024 * 1024,
+        deadline: 60_000,
+    };
+    common::Config {
+        revision,
+        accounts: vec![account("swan-coast", 100)],
+        services: vec![common::Service {
+            name: "booking".to_owned(),
+            kinds: vec![kind("rebuild", 1), kind("confirm", 0)],
+        }],
+        drained: Vec::new(),
+    }
+}
+
+pub fn hours(as_of: u64, hours: Vec<wire::Hour>) -> wire::Hours {
+    wire::Hours { as_of, hours }
+}
+
+impl FakeControl {
+    pub async fn start() -> Self {
+        let shared = rc::Rc::new(Shared {
+            jobs: cell::RefCell::default(),
+            answers: cell::RefCell::default(),
+            calls: cell::RefCell::default(),
+            refusals: cell::RefCell::default(),
+            leader: cell::RefCell::default(),
+            leads: cell::Cell::new(true),
+            script: cell::RefCell::new(Box::new(|_, _| Act::Usual)),
+            config: watch::Sender::new(config(1)),
+            hours: cell::RefCell::new(hours(0, Vec::new())),
+        });
+        let addr = "127.0.0.1:0".parse().expect("an address");
+        let handler = rc::Rc::new(Replica(shared.clone()));
+        let server = stream::Server::bind(addr, 16, handler).await.expect("a port");
+        Self { server, shared }
+    }
+
+    pub fn addr(&self) -> net::SocketAddr {
+        self.server.addr()
+    }
+
+    pub async fn stop(self) {
+        self.server.stop().await;
+    }
+
+    pub fn script(&self, script: impl FnMut(u64, &wire::Call) -> Act + 'static) {
+        *self.shared.script.borrow_mut() = Box::new(script);
+    }
+
+    /// Ends a job with this answer.
+    pub fn finish(&self, account: &str, key: &str, answer: &[u8]) {
+        let name = (account.to_owned(), key.to_owned());
+        let meta = common::AnswerMeta {
+            length: answer.len() as u64,
+            sha256: sha2::Sha256::digest(answer).into(),
+        };
+        self.shared.answers.borrow_mut().insert(name.clone(), answer.to_vec());
+        let mut jobs = self.shared.jobs.borrow_mut();
+        let job = jobs.entry(name).or_insert_with(|| job(account, key, 1));
+        job.phase = 2;
+        job.end = Some(common::End::Done(meta));
+    }
+
+    /// The submissions seen.
+    pub fn submissions(&self) -> usize {
+        let calls = self.shared.calls.borrow();
+        calls.iter().filter(|call| matches!(call, wire::Call::Submit(_))).count()
+    }
+}
+
+pub fn job(account: &str, key: &str, number: u64) -> wire::Job {
+    wire::Job {
+        job: number,
+        account: account.to_owned(),
+        service: "booking".to_owned(),
+        kind: "rebuild".to_owned(),
+        key: key.to_owned(),
+        shape: common::Shape { tasks: 1, accelerators: 0, adjacency: 0 },
+        submitted: 1_000,
+        deadline: 2_000,
+        phase: 0,
+        attempts: 0,
+        places: Vec::new(),
+        end: None,
+    }
+}
+
+pub fn refused(verdict: u8, reason: u16) -> wire::Reply {
+    wire::Reply::Refused(common::Refusal { verdict, reason, detail: "by control".to_owned() })
+}
+
+async fn serve(shared: rc::Rc<Shared>, incoming: stream::Incoming) {
+    let (sender, mut receiver) = incoming.split::<wire::Up, wire::Down>();
+    let mut config = shared.config.subscribe();
+    loop {
+        let message = tokio::select! {
+            message = receiver.receive() => message,
+            Ok(()) = config.changed() => {
+                let pushed = config.borrow_and_update().clone();
+                sender.send(&wire::Down::Config(pushed)).await;
+                continue;
+            }
+        };
+        let Some(message) = message else { return };
+        if !shared.leads.get() {
+            let leader = shared.leader.borrow().clone();
+            sender.send(&wire::Down::NotLeader { leader }).await;
+            continue;
+        }
+        match message {
+            wire::Up::Hello { .. } => {
+                sender.send(&wire::Down::Welcome { replica: 1 }).await;
+            }
+            wire::Up::Call { id, body, .. } => {
+                if !matches!(body, wire::Call::Config | wire::Call::Hours { .. }) {
+                    shared.calls.borrow_mut().push(body.clone());
+                }
+                let act = (shared.script.borrow_mut())(id, &body);
+                let replies = match act {
+                    Act::Usual => shared.usual(id, &body),
+                    Act::Send(messages) => messages,
+                    Act::Close => return,
+                };
+                for reply in replies {
+                    sender.send(&reply).await;
+                }
+            }
+            wire::Up::Forget { .. } => {}
+            wire::Up::Refusals { sequence, .. } => {
+                shared.refusals.borrow_mut().push(message);
+                sender.send(&wire::Down::RefusalsStored { sequence }).await;
+            }
+        }
+    }
+}
+
+impl Shared {
+    /// The usual replies to a call.
+    pub fn usual(&self, id: u64, call: &wire::Call) -> Vec<wire::Down> {
+        if let wire::Call::Answer { account, key, offset } = call {
+            let answers = self.answers.borrow();
+            let bytes = &answers[&(account.clone(), key.clone())];
+            return chunks(id, bytes, *offset as usize, 1000);
+        }
+        vec![wire::Down::Reply { id, body: self.reply(call) }]
+    }
+
+    fn reply(&self, call: &wire::Call) -> wire::Reply {
+        let unknown = || refused(0, 3);
+        match call {
+            wire::Call::Submit(spec) => {
+                let mut jobs = self.jobs.borrow_mut();
+                let number = jobs.len() as u64 + 1;
+                let name = (spec.account.clone(), spec.key.clone());
+                let job = jobs.entry(name).or_insert_with(|| job(&spec.account, &spec.key, number));
+                wire::Reply::Job(job.clone())
+            }
+            wire::Call::Fetch { account, key, .. } | wire::Call::Cancel { account, key } => {
+                let jobs = self.jobs.borrow();
+                let job = jobs.get(&(account.clone(), key.clone()));
+                job.map_or_else(unknown, |job| wire::Reply::Job(job.clone()))
+            }
+            wire::Call::JobShow(number) => {
+                let jobs = self.jobs.borrow();
+                let job = jobs.values().find(|job| job.job == *number);
+                job.map_or_else(unknown, |job| wire::Reply::Job(job.clone()))
+            }
+            wire::Call::Jobs { .. } => {
+                wire::Reply::Jobs(self.jobs.borrow().values().cloned().collect())
+            }
+            wire::Call::Config => wire::Reply::Config(self.config.borrow().clone()),
+            wire::Call::Hours { .. } => wire::Reply::Hours(self.hours.borrow().clone()),
+            wire::Call::Ticket(ticket) => wire::Reply::Ticket { revision: ticket.number },
+            wire::Call::Workers => wire::Reply::Workers(Vec::new()),
+            wire::Call::Status => wire::Reply::Status(wire::Status {
+                leader: 1,
+                term: 1,
+                revision: self.config.borrow().revision,
+                committed: 7,
+                replicas: Vec::new(),
+                lagging: Vec::new(),
+                shortfall: Vec::new(),
+                queued: 0,
+                running: 0,
+            }),
+            wire::Call::TicketShow(_) | wire::Call::Answer { .. } => unknown(),
+        }
+    }
+}
+
+/// An answer's bytes from an offset on, in chunks.
+pub fn chunks(id: u64, bytes: &[u8], offset: usize, size: usize) -> Vec<wire::Down> {
+    let starts = (offset..bytes.len()).step_by(size);
+    let chunk = |start: usize| {
+        let end = bytes.len().min(start + size);
+        let last = end == bytes.len();
+        let bytes = bytes[start..end].to_vec();
+        let body = wire::Reply::Chunk { offset: start as u64, bytes, last };
+        wire::Down::Reply { id, body }
+    };
+    starts.map(chunk).collect()
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,5 +1,7 @@
 //! Fakes and helpers that several matters use.
 
+pub mod fake_control;
+pub mod http_client;
 pub mod plans;
 
 use std::future;
