--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,10 +2,14 @@
 
 mod entry;
 mod entry_faults;
+mod gang;
 mod lease;
+mod ledger;
 mod limit;
 mod placement;
 mod settings;
+mod placement_random;
+mod settings_examples;
 mod support;
 mod telemetry;
 mod verdict;
