Show each guard of the ledger and the gangs red when taken out

Two had no test of their own because another rule covers them on every path that commands can reach (an unrepeatable job is never queued again; a hole shows in the length): both now have a test that holds the rule itself, seen red without it. The check of an answer's length stays without one: the checksum covers it.

--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -116,6 +116,21 @@
     }
 }
 
+impl<T: bincode::Decode<()>> Receiver<T> {
+    /// A message that has arrived already, if there is one.
+    pub fn try_receive(&mut self) -> Option<T> {
+        let bytes = self.queue.try_recv().ok()?;
+        codec::decode(&bytes).ok()
+    }
+}
+
+/// A sender and a receiver joined in memory, for callers that bring a transport of their own.
+pub fn pair<T>() -> (Sender<T>, Receiver<T>) {
+    let (sender, receiver) = mpsc::channel(SEND_QUEUE);
+    let sender = Sender { queue: sender, kind: marker::PhantomData };
+    (sender, Receiver { queue: receiver, kind: marker::PhantomData })
+}
+
 /// A server's view of a stream that a client has opened. The handler turns it into typed halves.
 pub struct Incoming {
     /// The path the client asked for, such as `/agent`.
--- a/tests/testsuite/ledger.rs
+++ b/tests/testsuite/ledger.rs
@@ -366,3 +366,27 @@
     let restored = state::Ledger::try_from(wire).expect("a ledger");
     assert_eq!(restored, book.ledger);
 }
+
+#[test]
+fn release_of_unrepeatable_needs_a_fresh_job() {
+    let mut book = support::Book::new();
+    let job = book.submit(support::spec("k", "confirm", 1, 1));
+    book.release(job, 1);
+    book.end(job, command::AttemptResult::NotStarted);
+    let attempt = book.attempt(job);
+    book.apply(command::Command::Clear { attempt });
+    // No command leads here; the rule has to hold of itself.
+    book.ledger.table.jobs.get_mut(&job).expect("the job is known").phase = job::Phase::Queued;
+    assert_eq!(book.release(job, 2), outcome::Outcome::Stale);
+}
+
+#[test]
+fn chunk_beyond_a_hole_is_stale() {
+    let mut book = support::Book::new();
+    let job = book.submit(support::spec("k", "confirm", 1, 1));
+    book.release(job, 1);
+    let attempt = book.attempt(job);
+    let chunk = command::Command::Chunk { attempt, offset: 3, bytes: b"de".to_vec() };
+    assert_eq!(book.apply(chunk), outcome::Outcome::Stale);
+    assert_eq!(book.ledger.table.bytes, 0);
+}
