Add the replicated log with its store and its peer streams

Cause: control has to remember what it has accepted, on its own disks, without an outside store or a ready-made consensus.

Ruled out: an external store and consensus crates (not allowed); writing hard state to a file of its own (a second sync for each vote); counting a replica by its number alone (a wiped folder would vote twice).

Before: no log.

--- /dev/null
+++ b/src/control/replica/peer.rs
@@ -0,0 +1,325 @@
+//! Streams between replicas: one dialled to each member, and those that peers have opened.
+
+use std::net;
+use std::rc;
+use std::time;
+
+use tokio::sync::mpsc;
+
+use crate::control::replica::driver;
+use crate::core::consensus::entry;
+use crate::core::consensus::membership;
+use crate::core::consensus::message;
+use crate::core::ids;
+use crate::net::stream;
+use crate::telemetry::event;
+use crate::wire::codec;
+use crate::wire::peer;
+
+/// The path of the streams between replicas.
+pub const PATH: &str = "/peer";
+
+/// Messages that may wait for a link; more are dropped, as a network would.
+const QUEUE: usize = 1024;
+
+/// How long the answer to a hello may take.
+const HELLO_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// How often an idle link says hello.
+const KEEP_ALIVE: time::Duration = time::Duration::from_secs(5);
+
+/// How long a link may go without an answer before it is dialled afresh.
+const SILENCE: time::Duration = time::Duration::from_secs(2);
+
+/// How long a stream that a peer has opened may be silent.
+const IDLE: time::Duration = time::Duration::from_secs(15);
+
+/// The first and the longest pause before a link is dialled again.
+const BACK_OFF: (time::Duration, time::Duration) =
+    (time::Duration::from_millis(50), time::Duration::from_millis(800));
+
+/// Why a session with a peer could not begin.
+pub(super) enum HelloError {
+    /// The peer can't be reached, or does not answer.
+    Unreachable(String),
+    /// The peer is not who it should be.
+    Wrong(String),
+}
+
+/// A session that a replica has opened with a peer.
+pub(super) struct Session {
+    pub(super) sender: stream::Sender<peer::Up>,
+    pub(super) receiver: stream::Receiver<peer::Down>,
+    /// What the peer has said of itself.
+    pub(super) hello: peer::Hello,
+    _connection: stream::Connection,
+}
+
+impl Session {
+    /// Dials an address and exchanges hellos.
+    pub(super) async fn open(
+        driver: &driver::Driver,
+        addr: net::SocketAddr,
+    ) -> Result<Self, HelloError> {
+        let unreachable = |detail: &str| HelloError::Unreachable(format!("{addr}: {detail}"));
+        let opened = stream::connect::<peer::Up, peer::Down>(addr, PATH).await;
+        let (sender, mut receiver, connection) =
+            opened.map_err(|error| unreachable(&error.to_string()))?;
+        sender.send(&peer::Up::Hello(hello(driver))).await;
+        let answer = tokio::time::timeout(HELLO_TIMEOUT, receiver.receive()).await;
+        let Ok(Some(peer::Down::Hello(hello))) = answer else {
+            return Err(unreachable("no hello"));
+        };
+        if hello.version != codec::VERSION {
+            let detail = format!("{addr} speaks version {}", hello.version);
+            return Err(HelloError::Wrong(detail));
+        }
+        Ok(Self { sender, receiver, hello, _connection: connection })
+    }
+}
+
+fn hello(driver: &driver::Driver) -> peer::Hello {
+    let group = driver.group().map(|group| group.0);
+    peer::Hello { version: codec::VERSION, id: driver.id().into(), group }
+}
+
+/// Whether a message answers another and so travels back on its stream.
+pub(super) fn is_answer(body: &message::Body) -> bool {
+    matches!(
+        body,
+        message::Body::PreVoteAnswer { .. }
+            | message::Body::VoteAnswer { .. }
+            | message::Body::AppendAnswer { .. }
+            | message::Body::ChunkAnswer { .. }
+    )
+}
+
+/// The way back along a stream that a peer has opened.
+#[derive(Clone)]
+pub(super) struct Route(rc::Rc<stream::Sender<peer::Down>>);
+
+impl Route {
+    /// Whether both are the same stream.
+    pub(super) fn is(&self, other: &Route) -> bool {
+        rc::Rc::ptr_eq(&self.0, &other.0)
+    }
+
+    /// Whether the stream has ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+
+    /// False if the stream has ended or has no room.
+    pub(super) fn send(&self, envelope: message::Envelope) -> bool {
+        !self.0.is_closed() && self.0.try_send(&peer::Down::Envelope(envelope.into()))
+    }
+}
+
+/// The link that this replica dials to one member.
+pub(super) struct Link {
+    addr: String,
+    /// None once the link is to end.
+    queue: Option<mpsc::Sender<message::Envelope>>,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+impl Link {
+    /// Starts to dial a member.
+    pub(super) fn open(driver: rc::Rc<driver::Driver>, member: &entry::Member) -> Self {
+        let (queue, messages) = mpsc::channel(QUEUE);
+        let addr = member.addr.clone();
+        let task = actix_rt::spawn(dial(driver, member.id, addr.clone(), messages));
+        Self { addr, queue: Some(queue), task }
+    }
+
+    /// Whether the link leads to this address.
+    pub(super) fn leads_to(&self, addr: &str) -> bool {
+        self.addr == addr
+    }
+
+    /// Sends a message, or drops it if too many wait.
+    pub(super) fn send(&self, envelope: message::Envelope) {
+        if let Some(queue) = &self.queue {
+            let _ = queue.try_send(envelope);
+        }
+    }
+
+    /// Lets the link end.
+    pub(super) fn retire(self) -> Self {
+        Self { queue: None, ..self }
+    }
+
+    /// Whether the link has ended.
+    pub(super) fn has_ended(&self) -> bool {
+        self.task.is_finished()
+    }
+
+    /// Ends the link and waits for it.
+    pub(super) async fn stop(self) {
+        let _ = self.retire().task.await;
+    }
+}
+
+/// Keeps a session with one member until the link is dropped or the replica stops.
+async fn dial(
+    driver: rc::Rc<driver::Driver>,
+    id: entry::Identity,
+    addr: String,
+    mut messages: mpsc::Receiver<message::Envelope>,
+) {
+    let Ok(socket) = addr.parse::<net::SocketAddr>() else {
+        event::store::PEER_REFUSED.log(format_args!("{addr} is not an address"));
+        return;
+    };
+    let mut pause = BACK_OFF.0;
+    let mut complaint = String::new();
+    loop {
+        let opened = tokio::select! {
+            opened = Session::open(&driver, socket) => opened,
+            () = driver.stopped() => return,
+        };
+        match opened {
+            Ok(session) if entry::Identity::from(session.hello.id) == id => {
+                pause = BACK_OFF.0;
+                while messages.try_recv().is_ok() {}
+                if !talk(&driver, session, &mut messages).await {
+                    return;
+                }
+            }
+            Ok(session) => {
+                let found = entry::Identity::from(session.hello.id);
+                complain(&mut complaint, format!("{addr}: expected {id:?}, found {found:?}"));
+            }
+            Err(HelloError::Wrong(detail)) => complain(&mut complaint, detail),
+            Err(HelloError::Unreachable(detail)) => tracing::debug!(%detail, "peer unreachable"),
+        }
+        tokio::select! {
+            () = tokio::time::sleep(pause) => pause = BACK_OFF.1.min(pause * 2),
+            () = driver.stopped() => return,
+            () = dropped(&mut messages) => return,
+        }
+    }
+}
+
+/// Logs a complaint once.
+fn complain(last: &mut String, detail: String) {
+    if *last != detail {
+        event::store::PEER_REFUSED.log(format_args!("{detail}"));
+        *last = detail;
+    }
+}
+
+/// Drops messages until the link is dropped.
+async fn dropped(messages: &mut mpsc::Receiver<message::Envelope>) {
+    while messages.recv().await.is_some() {}
+}
+
+/// Carries messages both ways. False once the link is dropped or the replica stops.
+async fn talk(
+    driver: &driver::Driver,
+    mut session: Session,
+    messages: &mut mpsc::Receiver<message::Envelope>,
+) -> bool {
+    // When the first message that has no answer yet was sent.
+    let mut asked: Option<tokio::time::Instant> = None;
+    loop {
+        let now = tokio::time::Instant::now();
+        let due = asked.map_or(now + KEEP_ALIVE, |asked| asked + SILENCE);
+        tokio::select! {
+            message = messages.recv() => {
+                let Some(envelope) = message else { return false };
+                let sent = session.sender.try_send(&peer::Up::Envelope(envelope.into()));
+                if !sent && session.sender.is_closed() {
+                    return true;
+                }
+                asked = asked.or(Some(now));
+            }
+            answer = session.receiver.receive() => {
+                asked = None;
+                match answer {
+                    Some(peer::Down::Envelope(envelope)) => receive(driver, envelope),
+                    Some(_) => {}
+                    None => return true,
+                }
+            }
+            () = tokio::time::sleep_until(due) => {
+                if asked.is_some() {
+                    return true;
+                }
+                session.sender.try_send(&peer::Up::Hello(hello(driver)));
+                asked = Some(now);
+            }
+            () = driver.stopped() => return false,
+        }
+    }
+}
+
+fn receive(driver: &driver::Driver, envelope: peer::Envelope) {
+    match message::Envelope::try_from(envelope) {
+        Ok(envelope) => driver.push(message::Input::Receive(envelope)),
+        Err(error) => event::store::PEER_REFUSED.log(format_args!("{error}")),
+    }
+}
+
+/// Serves a stream that a peer has opened.
+pub(super) async fn serve(driver: rc::Rc<driver::Driver>, incoming: stream::Incoming) {
+    let addr = incoming.peer;
+    let (sender, mut receiver) = incoming.split::<peer::Up, peer::Down>();
+    let sender = rc::Rc::new(sender);
+    let route = Route(sender.clone());
+    let mut known = None;
+    loop {
+        let message = tokio::select! {
+            message = tokio::time::timeout(IDLE, receiver.receive()) => message,
+            () = driver.stopped() => return,
+        };
+        let Ok(Some(message)) = message else { return };
+        match (message, known) {
+            (peer::Up::Hello(said), _) => {
+                sender.try_send(&peer::Down::Hello(hello(&driver)));
+                if said.version != codec::VERSION {
+                    let version = said.version;
+                    event::store::PEER_REFUSED.log(format_args!("{addr} speaks {version}"));
+                    return;
+                }
+                known = Some(said.id);
+            }
+            (peer::Up::Join(group), Some(_)) => {
+                driver.push(message::Input::Adopt(ids::GroupKey(group)));
+                driver.until(|driver| driver.group().is_some()).await;
+                let Some(group) = driver.group() else { return };
+                sender.try_send(&peer::Down::Joined(group.0));
+            }
+            (peer::Up::Envelope(envelope), Some(id)) if envelope.from == id => {
+                // A session that only asks who is here is no way to send answers.
+                driver.add_route(id.into(), &route);
+                receive(&driver, envelope);
+            }
+            (_, _) => {
+                event::store::PEER_REFUSED.log(format_args!("{addr} spoke for another"));
+                return;
+            }
+        }
+    }
+}
+
+/// Finds the stores behind addresses.
+pub(super) async fn find(
+    driver: &driver::Driver,
+    replicas: Vec<(ids::ReplicaKey, String)>,
+) -> Vec<membership::Target> {
+    let find = |(replica, addr): (ids::ReplicaKey, String)| async move {
+        let store = match addr.parse() {
+            _ if replica == driver.id().replica => Some(driver.id().store),
+            Ok(socket) => match Session::open(driver, socket).await {
+                Ok(session) if session.hello.id.replica == replica.0 => {
+                    Some(ids::StoreKey(session.hello.id.store))
+                }
+                _ => None,
+            },
+            Err(_) => None,
+        };
+        membership::Target { replica, addr, store }
+    };
+    futures_util::future::join_all(replicas.into_iter().map(find)).await
+}
--- /dev/null
+++ b/src/store/disk.rs
@@ -0,0 +1,147 @@
+//! The border between the store and the operating system; tests put faulty disks here.
+
+use std::fs;
+use std::io;
+use std::io::Read as _;
+use std::io::Seek as _;
+use std::io::Write as _;
+use std::path;
+
+use crate::store;
+
+/// The name of the file that is locked while a folder is in use.
+pub const LOCK: &str = "lock";
+
+/// One folder of plain files.
+pub trait Disk: Send + Sync {
+    /// The names of all files, in order.
+    fn list(&self) -> io::Result<Vec<String>>;
+
+    /// The whole of a file.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+
+    /// At most `length` bytes of a file from `offset` on.
+    fn read_at(&self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>>;
+
+    /// Makes an empty file, or empties one.
+    fn create(&self, name: &str) -> io::Result<Box<dyn File>>;
+
+    /// Opens a file to write at its end.
+    fn append(&self, name: &str) -> io::Result<Box<dyn File>>;
+
+    /// Cuts a file to a length and syncs it.
+    fn truncate(&self, name: &str, length: u64) -> io::Result<()>;
+
+    /// Renames a file, over another if there is one.
+    fn rename(&self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Removes a file.
+    fn remove(&self, name: &str) -> io::Result<()>;
+
+    /// Makes the creation, renaming and removal of files last.
+    fn sync_folder(&self) -> io::Result<()>;
+}
+
+/// A file that is written at its end.
+pub trait File: Send {
+    /// Writes all bytes.
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()>;
+
+    /// Makes all that was written last.
+    fn sync(&mut self) -> io::Result<()>;
+}
+
+/// A real folder, locked against other processes for as long as this value lives.
+#[derive(Debug)]
+pub struct Folder {
+    path: path::PathBuf,
+    _lock: fs::File,
+}
+
+impl Folder {
+    /// Opens and locks a folder, which is made if it is missing.
+    pub fn create(path: impl Into<path::PathBuf>) -> Result<Self, store::Error> {
+        let path = path.into();
+        let name = path.display().to_string();
+        fs::create_dir_all(&path).map_err(|error| store::Error::io(&name, error))?;
+        Self::open(path)
+    }
+
+    /// Opens and locks a folder that is there.
+    pub fn open(path: impl Into<path::PathBuf>) -> Result<Self, store::Error> {
+        let path = path.into();
+        let file = path.join(LOCK);
+        let name = file.display().to_string();
+        let lock = fs::File::options()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(&file)
+            .map_err(|error| store::Error::io(&name, error))?;
+        match lock.try_lock() {
+            Ok(()) => Ok(Self { path, _lock: lock }),
+            Err(fs::TryLockError::WouldBlock) => Err(store::Error::Locked(name)),
+            Err(fs::TryLockError::Error(error)) => Err(store::Error::io(&name, error)),
+        }
+    }
+}
+
+impl Disk for Folder {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            names.push(entry?.file_name().to_string_lossy().into_owned());
+        }
+        names.retain(|name| name != LOCK);
+        names.sort();
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path.join(name))
+    }
+
+    fn read_at(&self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
+        let mut file = fs::File::open(self.path.join(name))?;
+        file.seek(io::SeekFrom::Start(offset))?;
+        let mut bytes = Vec::with_capacity(length);
+        file.take(length as u64).read_to_end(&mut bytes)?;
+        Ok(bytes)
+    }
+
+    fn create(&self, name: &str) -> io::Result<Box<dyn File>> {
+        Ok(Box::new(fs::File::create(self.path.join(name))?))
+    }
+
+    fn append(&self, name: &str) -> io::Result<Box<dyn File>> {
+        Ok(Box::new(fs::File::options().append(true).open(self.path.join(name))?))
+    }
+
+    fn truncate(&self, name: &str, length: u64) -> io::Result<()> {
+        let file = fs::File::options().write(true).open(self.path.join(name))?;
+        file.set_len(length)?;
+        file.sync_all()
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        fs::File::open(&self.path)?.sync_all()
+    }
+}
+
+impl File for fs::File {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.write_all(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.sync_data()
+    }
+}
--- /dev/null
+++ b/src/store/folder.rs
@@ -0,0 +1,327 @@
+//! The store: one data folder, opened, appended to and kept bounded.
+
+use std::sync;
+
+use bytes::Bytes;
+
+use crate::core::consensus::entry;
+use crate::core::ids;
+use crate::store;
+use crate::store::disk;
+use crate::store::format;
+use crate::store::replay;
+use crate::store::segment;
+use crate::store::snapshot;
+use crate::wire;
+use crate::wire::codec;
+
+/// The file that marks a data folder.
+pub const MARK: &str = "store";
+
+const MARK_ASIDE: &str = "store.new";
+
+/// What a folder held when it was opened.
+#[derive(Debug)]
+pub struct Loaded {
+    /// Whose folder it is.
+    pub id: entry::Identity,
+    /// The hard state.
+    pub hard: entry::Hard,
+    /// The newest snapshot with its bytes.
+    pub snapshot: Option<(entry::Snapshot, Bytes)>,
+    /// The entries behind the snapshot.
+    pub entries: Vec<entry::Entry>,
+    /// Bytes of a torn write that were cut off.
+    pub cut: u64,
+}
+
+/// A segment and the last entry it may hold.
+#[derive(Debug)]
+struct Segment {
+    number: u64,
+    last: ids::LogIndex,
+}
+
+/// An open data folder.
+pub struct Store {
+    disk: sync::Arc<dyn disk::Disk>,
+    id: entry::Identity,
+    hard: entry::Hard,
+    last: ids::LogIndex,
+    /// Full segments, oldest first.
+    segments: Vec<Segment>,
+    /// The number, file and length of the segment that is written.
+    number: u64,
+    file: Box<dyn disk::File>,
+    length: u64,
+    broken: bool,
+}
+
+impl Store {
+    /// Opens the folder of `replica`, or makes it with the identity `fresh` if it is empty.
+    pub fn open(
+        disk: sync::Arc<dyn disk::Disk>,
+        replica: ids::ReplicaKey,
+        fresh: ids::StoreKey,
+    ) -> Result<(Self, Loaded), store::Error> {
+        let files = disk.list().map_err(|error| store::Error::io("the data folder", error))?;
+        let id = match read_mark(disk.as_ref(), &files)? {
+            Some(id) if id.replica != replica => {
+                let detail = format!("it belongs to replica {}", id.replica);
+                return Err(store::Error::Foreign(detail));
+            }
+            Some(id) => id,
+            None => write_mark(disk.as_ref(), entry::Identity { replica, store: fresh })?,
+        };
+        let scanned = scan(disk.as_ref(), id.store, &files)?;
+        Self::resume(disk, id, scanned)
+    }
+
+    /// Makes the folder fit for writing again.
+    fn resume(
+        disk: sync::Arc<dyn disk::Disk>,
+        id: entry::Identity,
+        mut scanned: Scanned,
+    ) -> Result<(Self, Loaded), store::Error> {
+        let snapshot = scanned.snapshot.as_ref().map(|(snapshot, _)| snapshot);
+        let void = scanned.replay.behind(snapshot)?;
+        let base = snapshot.map_or(ids::LogIndex(0), |snapshot| snapshot.index);
+        let last = scanned.replay.last().max(base);
+        let (number, file, length) = match scanned.segments.pop() {
+            Some((segment, sound)) if sound > 0 => {
+                let name = segment::name(segment.number);
+                if scanned.cut > 0 {
+                    disk.truncate(&name, sound).map_err(|error| store::Error::io(&name, error))?;
+                }
+                let file = disk.append(&name).map_err(|error| store::Error::io(&name, error))?;
+                (segment.number, file, sound)
+            }
+            unfinished => {
+                let number = unfinished.map_or(1, |(segment, _)| segment.number);
+                let (file, length) = begin(disk.as_ref(), id.store, number, &scanned.replay.hard)?;
+                (number, file, length)
+            }
+        };
+        let segments = scanned.segments.into_iter().map(|(segment, _)| segment).collect();
+        let hard = scanned.replay.hard;
+        let mut store =
+            Self { disk, id, hard, last, segments, number, file, length, broken: false };
+        if void {
+            store.write(&[entry::Batch {
+                truncate: Some(ids::LogIndex(1)),
+                ..entry::Batch::default()
+            }])?;
+            store.last = base;
+        }
+        let entries = scanned.replay.entries.into_iter().collect();
+        let loaded = Loaded { id, hard, snapshot: scanned.snapshot, entries, cut: scanned.cut };
+        Ok((store, loaded))
+    }
+
+    /// Writes batches in order and syncs them together. After an error the store is of no use.
+    pub fn write(&mut self, batches: &[entry::Batch]) -> Result<(), store::Error> {
+        self.guarded(|store| store.write_all(batches))
+    }
+
+    /// Writes a snapshot that covers entries written before, and drops what it covers.
+    pub fn save(&mut self, snapshot: &entry::Snapshot, bytes: &[u8]) -> Result<(), store::Error> {
+        self.guarded(|store| {
+            snapshot::write(store.disk.as_ref(), store.id.store, snapshot, bytes)?;
+            store.drop_covered(snapshot.index)
+        })
+    }
+
+    fn guarded(
+        &mut self,
+        act: impl FnOnce(&mut Self) -> Result<(), store::Error>,
+    ) -> Result<(), store::Error> {
+        if self.broken {
+            return Err(store::Error::Broken);
+        }
+        let result = act(self);
+        self.broken = result.is_err();
+        result
+    }
+
+    fn write_all(&mut self, batches: &[entry::Batch]) -> Result<(), store::Error> {
+        let mut bytes = Vec::new();
+        let mut installed = None;
+        for batch in batches {
+            if let Some((snapshot, content)) = &batch.snapshot {
+                // Entries before the snapshot must not be missing if the process ends here.
+                self.append(&mut bytes)?;
+                snapshot::write(self.disk.as_ref(), self.id.store, snapshot, content)?;
+                installed = Some(snapshot.index);
+            }
+            self.encode(batch, &mut bytes);
+        }
+        self.append(&mut bytes)?;
+        if let Some(index) = installed {
+            self.drop_covered(index)?;
+        }
+        Ok(())
+    }
+
+    fn encode(&mut self, batch: &entry::Batch, bytes: &mut Vec<u8>) {
+        let mut push = |record: wire::disk::Record| {
+            format::push_frame(bytes, &codec::encode(&record));
+        };
+        if let Some(hard) = &batch.hard {
+            self.hard = *hard;
+            push(wire::disk::Record::Hard(hard.into()));
+        }
+        if let Some(from) = batch.truncate {
+            self.last = ids::LogIndex(from.0 - 1);
+            push(wire::disk::Record::Truncate(from.0));
+        }
+        if let Some((snapshot, _)) = &batch.snapshot {
+            self.last = self.last.max(snapshot.index);
+        }
+        for entry in &batch.entries {
+            self.last = entry.index;
+            push(wire::disk::Record::Entry(entry.into()));
+        }
+    }
+
+    /// Writes and syncs, then begins a new segment if this one is full.
+    fn append(&mut self, bytes: &mut Vec<u8>) -> Result<(), store::Error> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        let name = segment::name(self.number);
+        let sealed = self.length + bytes.len() as u64;
+        let mut attempt = || {
+            self.file.write(bytes)?;
+            self.file.sync()?;
+            self.file.write(&format::seal(sealed))
+        };
+        attempt().map_err(|error| store::Error::io(&name, error))?;
+        self.length = sealed + format::SEAL_BYTES as u64;
+        bytes.clear();
+        if self.length >= store::SEGMENT_BYTES {
+            self.rotate()?;
+        }
+        Ok(())
+    }
+
+    fn rotate(&mut self) -> Result<(), store::Error> {
+        let number = self.number + 1;
+        let begun = begin(self.disk.as_ref(), self.id.store, number, &self.hard)?;
+        self.segments.push(Segment { number: self.number, last: self.last });
+        self.number = number;
+        (self.file, self.length) = begun;
+        Ok(())
+    }
+
+    /// Removes segments and snapshots that a durable snapshot replaces.
+    fn drop_covered(&mut self, index: ids::LogIndex) -> Result<(), store::Error> {
+        let disk = self.disk.as_ref();
+        let remove = |name: &str| disk.remove(name).map_err(|e| store::Error::io(name, e));
+        let files = disk.list().map_err(|error| store::Error::io("the data folder", error))?;
+        for older in snapshot::indexes(&files) {
+            if older < index {
+                remove(&snapshot::name(older))?;
+            }
+        }
+        let covered = self.segments.iter().take_while(|segment| segment.last <= index).count();
+        for segment in self.segments.drain(..covered) {
+            remove(&segment::name(segment.number))?;
+        }
+        disk.sync_folder().map_err(|error| store::Error::io("the data folder", error))
+    }
+}
+
+/// Begins a segment: its head and the hard state, synced and sealed.
+fn begin(
+    disk: &dyn disk::Disk,
+    store: ids::StoreKey,
+    number: u64,
+    hard: &entry::Hard,
+) -> Result<(Box<dyn disk::File>, u64), store::Error> {
+    let name = segment::name(number);
+    let kind = wire::disk::HeadKind::Segment(number);
+    let mut bytes = format::begin(&wire::disk::Head { store: store.0, kind });
+    format::push_frame(&mut bytes, &codec::encode(&wire::disk::Record::Hard(hard.into())));
+    let attempt = || {
+        let mut file = disk.create(&name)?;
+        file.write(&bytes)?;
+        file.sync()?;
+        file.write(&format::seal(bytes.len() as u64))?;
+        disk.sync_folder()?;
+        Ok(file)
+    };
+    let file = attempt().map_err(|error| store::Error::io(&name, error))?;
+    Ok((file, (bytes.len() + format::SEAL_BYTES) as u64))
+}
+
+/// Reads the mark. None if the folder is new.
+pub(super) fn read_mark(
+    disk: &dyn disk::Disk,
+    files: &[String],
+) -> Result<Option<entry::Identity>, store::Error> {
+    if !files.iter().any(|file| file == MARK) {
+        let other = files.iter().find(|file| *file != MARK_ASIDE);
+        return match other {
+            Some(file) => Err(store::Error::Foreign(format!("it holds {file} but no {MARK}"))),
+            None => Ok(None),
+        };
+    }
+    let bytes = disk.read(MARK).map_err(|error| store::Error::io(MARK, error))?;
+    let (head, _) = format::read_begin(MARK, &bytes)?;
+    let wire::disk::HeadKind::Folder(replica) = head.kind else {
+        return Err(store::Error::corrupt(MARK, format::PREFIX, "it is another file renamed"));
+    };
+    let replica = ids::ReplicaKey(replica);
+    Ok(Some(entry::Identity { replica, store: ids::StoreKey(head.store) }))
+}
+
+fn write_mark(disk: &dyn disk::Disk, id: entry::Identity) -> Result<entry::Identity, store::Error> {
+    let kind = wire::disk::HeadKind::Folder(id.replica.0);
+    let bytes = format::begin(&wire::disk::Head { store: id.store.0, kind });
+    let attempt = || {
+        let mut file = disk.create(MARK_ASIDE)?;
+        file.write(&bytes)?;
+        file.sync()?;
+        disk.rename(MARK_ASIDE, MARK)?;
+        disk.sync_folder()
+    };
+    attempt().map_err(|error| store::Error::io(MARK, error))?;
+    Ok(id)
+}
+
+/// What the files of a folder hold.
+pub(super) struct Scanned {
+    pub(super) replay: replay::Replay,
+    pub(super) snapshot: Option<(entry::Snapshot, Bytes)>,
+    /// Segments, oldest first, each with its sound bytes.
+    segments: Vec<(Segment, u64)>,
+    pub(super) cut: u64,
+}
+
+/// Reads all segments and the newest snapshot, changing nothing.
+pub(super) fn scan(
+    disk: &dyn disk::Disk,
+    store: ids::StoreKey,
+    files: &[String],
+) -> Result<Scanned, store::Error> {
+    let newest = snapshot::indexes(files).last().copied();
+    let snapshot = newest.map(|index| snapshot::read(disk, store, index)).transpose()?;
+    let numbers = segment::numbers(files);
+    let mut scanned =
+        Scanned { replay: replay::Replay::default(), snapshot, segments: Vec::new(), cut: 0 };
+    for (position, &number) in numbers.iter().enumerate() {
+        if number != numbers[0] + position as u64 {
+            let detail = "a segment before it is missing";
+            return Err(store::Error::corrupt(&segment::name(number), 0, detail));
+        }
+        let last = position + 1 == numbers.len();
+        let content = segment::read(disk, store, number, last)?;
+        for record in content.records {
+            scanned.replay.apply(number, record)?;
+        }
+        scanned.cut = content.torn;
+        let segment = Segment { number, last: scanned.replay.last() };
+        scanned.segments.push((segment, content.sound));
+    }
+    Ok(scanned)
+}
--- /dev/null
+++ b/src/store/inspect.rs
@@ -0,0 +1,54 @@
+//! A look at a data folder that changes nothing in it.
+
+use crate::core::consensus::entry;
+use crate::core::ids;
+use crate::macros;
+use crate::store;
+use crate::store::disk;
+use crate::store::folder;
+
+macros::plain! {
+    /// What a data folder holds.
+    pub struct Report {
+        /// Whose folder it is.
+        pub id: entry::Identity,
+        /// The hard state.
+        pub hard: entry::Hard,
+        /// The newest snapshot.
+        pub snapshot: Option<entry::Snapshot>,
+        /// The first entry behind the snapshot, if there is any.
+        pub first: Option<ids::LogIndex>,
+        /// The last entry.
+        pub last: ids::LogIndex,
+        /// Bytes of a torn write, which the next start will cut off.
+        pub torn: u64,
+        /// The files and their lengths.
+        pub files: Vec<(String, u64)>,
+    }
+}
+
+/// Reads and checks every file of a folder.
+pub fn inspect(disk: &dyn disk::Disk) -> Result<Report, store::Error> {
+    let files = disk.list().map_err(|error| store::Error::io("the data folder", error))?;
+    let Some(id) = folder::read_mark(disk, &files)? else {
+        return Err(store::Error::Foreign("it is empty".to_owned()));
+    };
+    let mut scanned = folder::scan(disk, id.store, &files)?;
+    let snapshot = scanned.snapshot.map(|(snapshot, _)| snapshot);
+    scanned.replay.behind(snapshot.as_ref())?;
+    let base = snapshot.as_ref().map_or(ids::LogIndex(0), |snapshot| snapshot.index);
+    let mut lengths = Vec::new();
+    for file in files {
+        let bytes = disk.read(&file).map_err(|error| store::Error::io(&file, error))?;
+        lengths.push((file, bytes.len() as u64));
+    }
+    Ok(Report {
+        id,
+        hard: scanned.replay.hard,
+        snapshot,
+        first: scanned.replay.entries.front().map(|entry| entry.index),
+        last: scanned.replay.last().max(base),
+        torn: scanned.cut,
+        files: lengths,
+    })
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,1 +1,81 @@
-//! The disk: log segments, snapshots and the identity of a data folder.
+//! The data folder of a control replica: a log in segments, snapshots, and the folder's identity.
+//!
+//! A folder holds a mark that names its store and replica, segments `log-N` and at most one
+//! snapshot `snapshot-N` (two while a newer one replaces it). Every file starts with the format's
+//! magic and version. Nothing counts before it is synced; a write or a sync that fails ends the
+//! use of the store, since nobody can tell what the file then holds.
+
+use std::io;
+
+use quick_error::quick_error;
+
+pub mod disk;
+pub mod folder;
+pub mod format;
+pub mod inspect;
+mod replay;
+mod segment;
+pub mod snapshot;
+
+/// Bytes after which a new segment is begun.
+pub const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
+
+quick_error! {
+    /// Why a data folder can't be used, or can't be used any longer.
+    #[derive(Debug)]
+    pub enum Error {
+        /// Reading, writing or syncing failed.
+        Io(file: String, source: io::Error) {
+            display("{} failed: {}; check the disk, then start again", file, source)
+            source(source)
+        }
+        /// The disk is full.
+        Full(file: String, source: io::Error) {
+            display("no space left to write {}: {}; free space, then start again", file, source)
+            source(source)
+        }
+        /// Another process uses the folder.
+        Locked(file: String) {
+            display("{} is locked by another process; stop that one first", file)
+        }
+        /// A file's bytes have changed since they were synced.
+        Corrupt(file: String, offset: u64, detail: String) {
+            display(
+                "{} is corrupt at byte {}: {}; keep a copy, empty the folder and have the replica \
+                 replaced",
+                file, offset, detail
+            )
+        }
+        /// The folder belongs to something else.
+        Foreign(detail: String) {
+            display("not a data folder of this replica: {}", detail)
+        }
+        /// The folder was written by a newer program.
+        Newer(found: u32) {
+            display(
+                "format version {} is newer than {}; start a newer program",
+                found, format::VERSION
+            )
+        }
+        /// An earlier write failed.
+        Broken {
+            display("an earlier write failed; start again")
+        }
+    }
+}
+
+impl Error {
+    /// The error of an operation on a file.
+    pub fn io(file: &str, source: io::Error) -> Self {
+        match source.kind() {
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => {
+                Error::Full(file.to_owned(), source)
+            }
+            _ => Error::Io(file.to_owned(), source),
+        }
+    }
+
+    fn corrupt(file: &str, offset: usize, detail: impl Into<String>) -> Self {
+        Error::Corrupt(file.to_owned(), offset as u64, detail.into())
+    }
+}
--- /dev/null
+++ b/src/store/snapshot.rs
@@ -0,0 +1,95 @@
+//! Snapshots: written aside, synced, renamed.
+
+use bytes::Bytes;
+
+use crate::core::consensus::entry;
+use crate::core::ids;
+use crate::store;
+use crate::store::disk;
+use crate::store::format;
+use crate::wire;
+
+const PREFIX: &str = "snapshot-";
+
+/// The file that a snapshot is written to before it is renamed.
+pub(super) const ASIDE: &str = "snapshot.new";
+
+/// The name of a snapshot's file.
+pub fn name(index: ids::LogIndex) -> String {
+    format!("{PREFIX}{:020}", index.0)
+}
+
+/// The snapshots among the files, in order.
+pub(super) fn indexes(files: &[String]) -> Vec<ids::LogIndex> {
+    let mut indexes: Vec<_> = files
+        .iter()
+        .filter_map(|file| file.strip_prefix(PREFIX)?.parse().ok().map(ids::LogIndex))
+        .collect();
+    indexes.sort_unstable();
+    indexes
+}
+
+fn head(store: ids::StoreKey, snapshot: &entry::Snapshot) -> Vec<u8> {
+    let kind = wire::disk::HeadKind::Snapshot(snapshot.into());
+    format::begin(&wire::disk::Head { store: store.0, kind })
+}
+
+/// Writes a snapshot so that it is either whole or not there.
+pub(super) fn write(
+    disk: &dyn disk::Disk,
+    store: ids::StoreKey,
+    snapshot: &entry::Snapshot,
+    bytes: &[u8],
+) -> Result<(), store::Error> {
+    let file = name(snapshot.index);
+    let attempt = || {
+        let mut aside = disk.create(ASIDE)?;
+        aside.write(&head(store, snapshot))?;
+        aside.write(bytes)?;
+        aside.sync()?;
+        disk.rename(ASIDE, &file)?;
+        disk.sync_folder()
+    };
+    attempt().map_err(|error| store::Error::io(&file, error))
+}
+
+/// Reads a snapshot and checks all of it.
+pub(super) fn read(
+    disk: &dyn disk::Disk,
+    store: ids::StoreKey,
+    index: ids::LogIndex,
+) -> Result<(entry::Snapshot, Bytes), store::Error> {
+    let file = name(index);
+    let bytes = disk.read(&file).map_err(|error| store::Error::io(&file, error))?;
+    let (head, start) = format::read_begin(&file, &bytes)?;
+    if head.store != store.0 {
+        return Err(store::Error::Foreign(format!("{file} belongs to another store")));
+    }
+    let wire::disk::HeadKind::Snapshot(snapshot) = head.kind else {
+        return Err(store::Error::corrupt(&file, format::PREFIX, "it is not a snapshot"));
+    };
+    let snapshot = entry::Snapshot::try_from(snapshot)
+        .map_err(|error| store::Error::corrupt(&file, format::PREFIX, error.to_string()))?;
+    let bytes = Bytes::from(bytes).slice(start..);
+    let sound = bytes.len() as u64 == snapshot.length
+        && crc32fast::hash(&bytes) == snapshot.checksum
+        && snapshot.index == index;
+    if !sound {
+        return Err(store::Error::corrupt(&file, start, "its bytes do not match its checksum"));
+    }
+    Ok((snapshot, bytes))
+}
+
+/// A piece of a snapshot's bytes, as they lie on disk.
+pub fn read_chunk(
+    disk: &dyn disk::Disk,
+    store: ids::StoreKey,
+    snapshot: &entry::Snapshot,
+    offset: u64,
+    length: usize,
+) -> Result<Bytes, store::Error> {
+    let file = name(snapshot.index);
+    let start = head(store, snapshot).len() as u64;
+    let bytes = disk.read_at(&file, start + offset, length);
+    bytes.map(Bytes::from).map_err(|error| store::Error::io(&file, error))
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -6,4 +6,6 @@
 pub mod agent;
 pub mod codec;
 pub mod common;
+pub mod disk;
 pub mod entry;
+pub mod peer;
--- /dev/null
+++ b/src/wire/peer.rs
@@ -0,0 +1,214 @@
+//! What control replicas say to one another.
+//!
+//! A replica dials each member and sends `Up`; answers come back on the same stream as `Down`.
+//! Both sides say hello first.
+
+use bytes::Bytes;
+
+use crate::core::consensus::entry;
+use crate::core::consensus::message;
+use crate::core::ids;
+use crate::macros;
+use crate::wire::codec;
+use crate::wire::disk;
+
+macros::plain! {
+    /// Who speaks.
+    #[derive(Copy, bincode::Encode, bincode::Decode)]
+    pub struct Hello {
+        /// The version of the protocol, see [`codec::VERSION`].
+        pub version: u16,
+        /// The speaker.
+        pub id: disk::Identity,
+        /// The group that the speaker's store belongs to.
+        pub group: Option<u128>,
+    }
+
+    /// From the replica that dialled.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub enum Up {
+        /// The first message.
+        Hello(Hello),
+        /// A founder asks the other to join its group for good.
+        Join(u128),
+        /// A message of the log.
+        Envelope(Envelope),
+    }
+
+    /// From the replica that was dialled.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub enum Down {
+        /// The answer to the hello.
+        Hello(Hello),
+        /// The answer to [`Up::Join`]: the group this store durably belongs to.
+        Joined(u128),
+        /// A message of the log.
+        Envelope(Envelope),
+    }
+
+    /// A [`message::Envelope`].
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Envelope {
+        /// The group.
+        pub group: u128,
+        /// The sender.
+        pub from: disk::Identity,
+        /// The receiver.
+        pub to: disk::Identity,
+        /// The term.
+        pub term: u64,
+        /// What is said.
+        pub body: Body,
+    }
+
+    /// A [`message::Body`].
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub enum Body {
+        /// Could the sender win?
+        PreVote(u64, u64),
+        /// The answer.
+        PreVoteAnswer(bool),
+        /// The last entry, its term, and whether leadership is being handed over.
+        Vote(u64, u64, bool),
+        /// The answer.
+        VoteAnswer(bool),
+        /// Entries.
+        Append {
+            /// The entry before.
+            prev: u64,
+            /// Its term.
+            prev_term: u64,
+            /// The entries.
+            entries: Vec<disk::Entry>,
+            /// The last committed entry.
+            commit: u64,
+            /// The confirmation round.
+            round: u64,
+        },
+        /// The answer.
+        AppendAnswer {
+            /// The last durable equal entry.
+            matched: u64,
+            /// The confirmation round.
+            round: u64,
+            /// The entry that is missing, and the last that may be equal.
+            missing: Option<(u64, u64)>,
+        },
+        /// A piece of a snapshot.
+        Chunk {
+            /// Which snapshot.
+            snapshot: disk::Snapshot,
+            /// Where the piece starts.
+            offset: u64,
+            /// The piece.
+            bytes: Vec<u8>,
+        },
+        /// The snapshot's last entry, and where the next piece starts.
+        ChunkAnswer(u64, u64),
+        /// Start an election now.
+        TimeoutNow,
+    }
+}
+
+impl From<message::Envelope> for Envelope {
+    fn from(envelope: message::Envelope) -> Self {
+        Self {
+            group: envelope.group.0,
+            from: envelope.from.into(),
+            to: envelope.to.into(),
+            term: envelope.term.0,
+            body: envelope.body.into(),
+        }
+    }
+}
+
+impl TryFrom<Envelope> for message::Envelope {
+    type Error = codec::Error;
+
+    fn try_from(envelope: Envelope) -> Result<Self, codec::Error> {
+        Ok(Self {
+            group: ids::GroupKey(envelope.group),
+            from: envelope.from.into(),
+            to: envelope.to.into(),
+            term: ids::Term(envelope.term),
+            body: envelope.body.try_into()?,
+        })
+    }
+}
+
+impl From<message::Body> for Body {
+    fn from(body: message::Body) -> Self {
+        match body {
+            message::Body::PreVote { last, last_term } => Body::PreVote(last.0, last_term.0),
+            message::Body::PreVoteAnswer { granted } => Body::PreVoteAnswer(granted),
+            message::Body::Vote { last, last_term, transfer } => {
+                Body::Vote(last.0, last_term.0, transfer)
+            }
+            message::Body::VoteAnswer { granted } => Body::VoteAnswer(granted),
+            message::Body::Append { prev, prev_term, entries, commit, round } => Body::Append {
+                prev: prev.0,
+                prev_term: prev_term.0,
+                entries: entries.iter().map(disk::Entry::from).collect(),
+                commit: commit.0,
+                round,
+            },
+            message::Body::AppendAnswer { matched, round, missing } => Body::AppendAnswer {
+                matched: matched.0,
+                round,
+                missing: missing.map(|missing| (missing.prev.0, missing.hint.0)),
+            },
+            message::Body::Chunk { snapshot, offset, bytes } => {
+                Body::Chunk { snapshot: (&snapshot).into(), offset, bytes: bytes.to_vec() }
+            }
+            message::Body::ChunkAnswer { index, offset } => Body::ChunkAnswer(index.0, offset),
+            message::Body::TimeoutNow => Body::TimeoutNow,
+        }
+    }
+}
+
+impl TryFrom<Body> for message::Body {
+    type Error = codec::Error;
+
+    fn try_from(body: Body) -> Result<Self, codec::Error> {
+        Ok(match body {
+            Body::PreVote(last, last_term) => message::Body::PreVote {
+                last: ids::LogIndex(last),
+                last_term: ids::Term(last_term),
+            },
+            Body::PreVoteAnswer(granted) => message::Body::PreVoteAnswer { granted },
+            Body::Vote(last, last_term, transfer) => message::Body::Vote {
+                last: ids::LogIndex(last),
+                last_term: ids::Term(last_term),
+                transfer,
+            },
+            Body::VoteAnswer(granted) => message::Body::VoteAnswer { granted },
+            Body::Append { prev, prev_term, entries, commit, round } => message::Body::Append {
+                prev: ids::LogIndex(prev),
+                prev_term: ids::Term(prev_term),
+                entries: entries
+                    .into_iter()
+                    .map(entry::Entry::try_from)
+                    .collect::<Result<_, _>>()?,
+                commit: ids::LogIndex(commit),
+                round,
+            },
+            Body::AppendAnswer { matched, round, missing } => message::Body::AppendAnswer {
+                matched: ids::LogIndex(matched),
+                round,
+                missing: missing.map(|(prev, hint)| message::Missing {
+                    prev: ids::LogIndex(prev),
+                    hint: ids::LogIndex(hint),
+                }),
+            },
+            Body::Chunk { snapshot, offset, bytes } => message::Body::Chunk {
+                snapshot: snapshot.try_into()?,
+                offset,
+                bytes: Bytes::from(bytes),
+            },
+            Body::ChunkAnswer(index, offset) => {
+                message::Body::ChunkAnswer { index: ids::LogIndex(index), offset }
+            }
+            Body::TimeoutNow => message::Body::TimeoutNow,
+        })
+    }
+}
--- /dev/null
+++ b/tests/testsuite/replica_support.rs
@@ -0,0 +1,215 @@
+//! A group of replicas over loopback, with a machine that remembers what it applied.
+
+use std::cell;
+use std::net;
+use std::path;
+use std::rc;
+use std::time;
+
+use futures_util::future;
+use hemlockcleat::control::machine;
+use hemlockcleat::control::machine::Log as _;
+use hemlockcleat::control::replica;
+use hemlockcleat::core::ids;
+use hemlockcleat::net::stream;
+use hemlockcleat::settings::control;
+
+/// How long a condition may take to come true on a busy machine.
+const PATIENCE: time::Duration = time::Duration::from_secs(20);
+
+/// Remembers entries and counts itself a leader when told.
+#[derive(Default)]
+pub struct Recorder {
+    pub entries: Vec<(u64, Vec<u8>)>,
+    pub role: Option<machine::Role>,
+    pub restored: usize,
+}
+
+impl machine::Machine for Recorder {
+    fn apply(&mut self, index: ids::LogIndex, entry: &[u8]) -> Vec<u8> {
+        self.entries.push((index.0, entry.to_vec()));
+        index.0.to_le_bytes().to_vec()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        hemlockcleat::wire::codec::encode(&self.entries)
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) {
+        self.entries = hemlockcleat::wire::codec::decode(snapshot).expect("a snapshot");
+        self.restored += 1;
+    }
+
+    fn role(&mut self, role: machine::Role) {
+        self.role = Some(role);
+    }
+}
+
+/// Where a listener finds the replica it serves, if that one runs.
+#[derive(Clone, Default)]
+struct Slot(rc::Rc<cell::RefCell<Option<rc::Rc<replica::Replica>>>>);
+
+impl stream::Handler for Slot {
+    fn handle(&self, incoming: stream::Incoming) -> future::LocalBoxFuture<'static, ()> {
+        match &*self.0.borrow() {
+            Some(replica) => replica.handle_peer(incoming),
+            None => Box::pin(async {}),
+        }
+    }
+}
+
+/// One replica with its folder and its listener.
+pub struct Node {
+    pub settings: control::Settings,
+    pub machine: rc::Rc<cell::RefCell<Recorder>>,
+    slot: Slot,
+    server: Option<stream::Server>,
+}
+
+impl Node {
+    pub fn replica(&self) -> rc::Rc<replica::Replica> {
+        self.slot.0.borrow().clone().expect("a running replica")
+    }
+
+    pub fn runs(&self) -> bool {
+        self.slot.0.borrow().is_some()
+    }
+
+    /// Starts the replica on its folder.
+    pub async fn start(&mut self) {
+        let started = self.try_start().await;
+        started.expect("the replica starts");
+    }
+
+    pub async fn try_start(&mut self) -> Result<(), replica::Error> {
+        self.machine = rc::Rc::default();
+        let replica = replica::Replica::start(&self.settings, self.machine.clone()).await?;
+        self.slot.0.replace(Some(replica));
+        Ok(())
+    }
+
+    /// Its number and address, as a membership names them.
+    pub fn member(&self) -> (ids::ReplicaKey, String) {
+        (ids::ReplicaKey(self.settings.replica), self.settings.listen.to_string())
+    }
+
+    /// Ends the replica and all its connections; its port stays reserved.
+    pub async fn stop(&mut self) {
+        if let Some(replica) = self.slot.0.take() {
+            replica.stop().await;
+        }
+        if let Some(server) = self.server.take() {
+            let addr = server.addr();
+            server.stop().await;
+            self.server = Some(listen(addr, self.slot.clone()).await);
+        }
+    }
+
+    /// Empties the data folder of a replica that is stopped.
+    pub fn wipe(&self) {
+        std::fs::remove_dir_all(&self.settings.data_folder).expect("an old folder");
+    }
+}
+
+async fn listen(addr: net::SocketAddr, slot: Slot) -> stream::Server {
+    stream::Server::bind(addr, 64, rc::Rc::new(slot)).await.expect("a listener")
+}
+
+/// A group of replicas.
+pub struct Group {
+    pub nodes: Vec<Node>,
+    folder: tempfile::TempDir,
+}
+
+impl Group {
+    /// Binds the ports of `count` founding members; none is started.
+    pub async fn bind(count: u64) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut group = Self { nodes: Vec::new(), folder };
+        let mut peers = Vec::new();
+        for number in 1..=count {
+            let node = group.make(number).await;
+            peers.push(control::Peer { replica: number, addr: node.settings.listen });
+            group.nodes.push(node);
+        }
+        for node in &mut group.nodes {
+            node.settings.peers = peers.clone();
+        }
+        group
+    }
+
+    /// Starts a whole group and waits for its leader.
+    pub async fn start(count: u64) -> Self {
+        let mut group = Self::bind(count).await;
+        for node in &mut group.nodes {
+            node.start().await;
+        }
+        group.leader().await;
+        group
+    }
+
+    async fn make(&self, number: u64) -> Node {
+        let slot = Slot::default();
+        let server = listen("127.0.0.1:0".parse().expect("an address"), slot.clone()).await;
+        let settings = control::Settings {
+            replica: number,
+            cell: 0,
+            data_center: format!("dc{number}"),
+            data_folder: self.path(&format!("replica{number}")),
+            listen: server.addr(),
+            http: server.addr(),
+            peers: Vec::new(),
+        };
+        Node { settings, machine: rc::Rc::default(), slot, server: Some(server) }
+    }
+
+    pub fn path(&self, name: &str) -> path::PathBuf {
+        self.folder.path().join(name)
+    }
+
+    /// The position of the one node that leads now.
+    pub fn leading(&self) -> Option<usize> {
+        self.nodes.iter().position(|node| node.runs() && node.replica().leads())
+    }
+
+    /// Waits for a leader.
+    pub async fn leader(&self) -> usize {
+        until("a leader", || self.leading().is_some()).await;
+        self.leading().expect("a leader")
+    }
+
+    /// Proposes an entry until some leader has answered.
+    pub async fn put(&self, entry: &[u8]) -> Vec<u8> {
+        let give_up = time::Instant::now() + PATIENCE;
+        while time::Instant::now() < give_up {
+            let leader = self.leader().await;
+            if let Ok(answer) = self.nodes[leader].replica().propose(entry.to_vec()).await {
+                return answer;
+            }
+        }
+        panic!("no leader has taken the entry");
+    }
+
+    /// Waits until every running node has applied this many entries.
+    pub async fn applied(&self, count: usize) {
+        let done = |node: &Node| !node.runs() || node.machine.borrow().entries.len() >= count;
+        until("all entries everywhere", || self.nodes.iter().all(done)).await;
+    }
+
+    /// Ends everything.
+    pub async fn stop(mut self) {
+        for node in &mut self.nodes {
+            node.stop().await;
+            node.server.take().expect("a listener").stop().await;
+        }
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, condition: impl Fn() -> bool) {
+    let give_up = time::Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(time::Instant::now() < give_up, "waited in vain for {what}");
+        tokio::time::sleep(time::Duration::from_millis(2)).await;
+    }
+}
