--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -134,3 +134,4 @@
         }
     }
 }
+pub mod replica;
