--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,8 @@
 mod settings;
 mod placement_random;
 mod settings_examples;
+mod replica;
+mod replica_support;
 mod support;
 mod telemetry;
 mod verdict;
