--- a/src/core/ledger/calendar.rs
+++ b/src/core/ledger/calendar.rs
@@ -98,7 +98,8 @@
         self.hours.retain(|(_, start), _| *start >= oldest);
     }
 
-    /// Every hour of every service that overlaps the span, up to the hour of `now`.
+    /// Every hour of every service that overlaps the span, up to the hour of `now`, and later hours
+    /// in which something is due.
     pub fn view(
         &self,
         from: time::Wall,
@@ -106,13 +107,15 @@
         now: time::Wall,
     ) -> Vec<(String, time::Wall, outcome::Hour)> {
         let mut view = Vec::new();
+        let until = until.min(now + RETENTION);
         let oldest = time::Wall(now.0.saturating_sub(RETENTION.0));
         for (service, created) in &self.created {
             let mut start = from.max(*created).max(oldest).hour();
-            let end = until.min(now.hour() + time::HOUR);
-            while start < end {
+            while start < until {
                 let hour = self.hours.get(&(service.clone(), start)).cloned();
-                view.push((service.clone(), start, hour.unwrap_or_default()));
+                if start <= now || hour.is_some() {
+                    view.push((service.clone(), start, hour.unwrap_or_default()));
+                }
                 start = start + time::HOUR;
             }
         }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -2,4 +2,6 @@
 
 pub mod check_settings;
 pub mod daemon;
+pub mod demo;
+pub mod local;
 pub mod standin;
--- a/tests/testsuite/ledger.rs
+++ b/tests/testsuite/ledger.rs
@@ -390,3 +390,15 @@
     assert_eq!(book.apply(chunk), outcome::Outcome::Stale);
     assert_eq!(book.ledger.table.bytes, 0);
 }
+
+#[test]
+fn hours_show_what_is_due_later() {
+    let mut book = support::Book::new();
+    let mut spec = support::spec("k", "confirm", 1, 0);
+    spec.deadline = support::START + time::Millis(3 * time::HOUR.0);
+    book.submit(spec);
+    let until = support::START + time::Millis(5 * time::HOUR.0);
+    let view = book.ledger.calendar.view(support::START, until, book.ledger.now);
+    let promised: Vec<u64> = view.iter().map(|(_, _, hour)| hour.promised).collect();
+    assert_eq!(promised, [0, 1], "this hour, and the later one in which something is due");
+}
--- a/tests/testsuite/replica_support.rs
+++ b/tests/testsuite/replica_support.rs
@@ -159,6 +159,8 @@
             listen: server.addr(),
             http: server.addr(),
             peers: Vec::new(),
+            advertise: None,
+            telemetry: Default::default(),
         };
         Node { settings, machine: rc::Rc::default(), slot, server: Some(server) }
     }
--- a/tests/testsuite/support/ledger.rs
+++ b/tests/testsuite/support/ledger.rs
@@ -94,9 +94,14 @@
 }
 
 impl Book {
+    /// An empty ledger.
+    pub fn empty() -> Self {
+        Self { at: START, ..Self::default() }
+    }
+
     /// A ledger with the service, accounts `a` and `b`, and workers `w1` and `w2` in one rack.
     pub fn new() -> Self {
-        let mut book = Self { at: START, ..Self::default() };
+        let mut book = Self::empty();
         let changes = vec![
             command::Change::Service(service()),
             command::Change::Account(account("a")),
