--- a/tests/testsuite/telemetry.rs
+++ b/tests/testsuite/telemetry.rs
@@ -111,3 +111,26 @@
         assert!((first..first + 100).contains(&event.number), "{event:?}");
     }
 }
+
+/// The rows of the catalogue: number, level and title.
+fn catalogue() -> BTreeSet<(u16, String, String)> {
+    let text = include_str!("../../docs/EVENTS.md");
+    let rows = text.lines().filter_map(|line| {
+        let mut cells = line.split('|').map(str::trim).skip(1);
+        let number = cells.next()?.parse().ok()?;
+        Some((number, cells.next()?.to_owned(), cells.next()?.to_owned()))
+    });
+    rows.collect()
+}
+
+#[test]
+fn events_catalogue() {
+    let of = |event: &event::Event| {
+        (event.number, event.level.as_str().to_lowercase(), event.title.to_owned())
+    };
+    let events: BTreeSet<_> = event::all().map(of).collect();
+    let rows = catalogue();
+    let missing: Vec<_> = events.difference(&rows).collect();
+    let extra: Vec<_> = rows.difference(&events).collect();
+    assert!(missing.is_empty() && extra.is_empty(), "missing {missing:?}, extra {extra:?}");
+}
