Find a relay's sources only when asked, off the runtime's thread

Cause: the relay looked its source up in /proc/net/tcp at each connection. With some 90,000 sockets on the machine that took a quarter of a second each, on the thread that also runs the stand-ins, whose leases then ran out. Ruled out: a relay for each pair of processes, since the members' addresses are the same for all that connect. Before: a run with 10 workers failed, all backend servers silent.

--- a/tests/testsuite/process.rs
+++ b/tests/testsuite/process.rs
@@ -3,9 +3,9 @@
 use std::time;
 
 use crate::support;
-use crate::support::checker;
-use crate::support::cluster;
-use crate::support::daemon;
+use crate::support::deployment::checker;
+use crate::support::deployment::cluster;
+use crate::support::deployment::daemon;
 
 #[test]
 fn path_answers_every_request() {
--- a/tests/testsuite/process_kill.rs
+++ b/tests/testsuite/process_kill.rs
@@ -5,10 +5,10 @@
 use rstest::rstest;
 
 use crate::support;
-use crate::support::checker;
-use crate::support::cluster;
-use crate::support::cluster::Cluster;
-use crate::support::daemon;
+use crate::support::deployment::checker;
+use crate::support::deployment::cluster;
+use crate::support::deployment::cluster::Cluster;
+use crate::support::deployment::daemon;
 
 /// Requests of one case.
 const COUNT: usize = 16;
--- a/tests/testsuite/process_partition.rs
+++ b/tests/testsuite/process_partition.rs
@@ -5,11 +5,11 @@
 use rstest::rstest;
 
 use crate::support;
-use crate::support::checker;
-use crate::support::cluster;
-use crate::support::cluster::Cluster;
-use crate::support::daemon;
-use crate::support::relay;
+use crate::support::deployment::checker;
+use crate::support::deployment::cluster;
+use crate::support::deployment::cluster::Cluster;
+use crate::support::deployment::daemon;
+use crate::support::deployment::relay;
 
 /// Requests of one case.
 const COUNT: usize = 16;
@@ -20,6 +20,9 @@
 /// Longer than a worker's lease with its margin, and than any leader lease.
 const PAST_LEASE: time::Duration = time::Duration::from_secs(7);
 
+/// How long bytes may still be on their way after a rule has been set.
+const IN_FLIGHT: time::Duration = time::Duration::from_millis(300);
+
 /// How long each task runs, in milliseconds: it is met by the fault, and ends behind it.
 const RUN_MS: u64 = 2500;
 
@@ -88,7 +91,7 @@
         let load = checker::send(&caller, "cut", COUNT, RUN_MS, WAIT);
         let fault = async {
             task_runs(&cluster).await;
-            cluster.isolate(leader);
+            cluster.isolate(leader).await;
             let other = async || cluster.leader_now().await.is_some_and(|now| now != leader);
             cluster.until("another replica leads", other).await;
             tokio::time::sleep(PAST_LEASE).await;
@@ -122,6 +125,18 @@
     }
 }
 
+/// What the first agent's connections have carried.
+async fn carried(cluster: &Cluster) -> relay::Carried {
+    let mut sum = relay::Carried::default();
+    for relay in &cluster.relays {
+        let carried = relay.carried().await;
+        let carried = carried.get(&cluster.agents[0].id()).copied().unwrap_or_default();
+        sum.up += carried.up;
+        sum.down += carried.down;
+    }
+    sum
+}
+
 #[rstest]
 fn cut_agent_silently(#[values(Way::Up, Way::Down, Way::Both)] way: Way) {
     let _turn = daemon::turn();
@@ -132,9 +147,15 @@
         let fault = async {
             task_runs(&cluster).await;
             for relay in &cluster.relays {
-                relay.set(cluster.agents[0].id(), way.rule());
+                relay.set(cluster.agents[0].id(), way.rule()).await;
             }
+            // What was being written when the rule came still passes.
+            tokio::time::sleep(IN_FLIGHT).await;
+            let before = carried(&cluster).await;
             tokio::time::sleep(PAST_LEASE).await;
+            let after = carried(&cluster).await;
+            assert!(way == Way::Down || after.up == before.up, "nothing passes up");
+            assert!(way == Way::Up || after.down == before.down, "nothing passes down");
             cluster.heal();
             cluster.until("it is back", async || cluster.alive().await == Some(2)).await;
         };
--- a/tests/testsuite/process_replicas.rs
+++ b/tests/testsuite/process_replicas.rs
@@ -6,11 +6,11 @@
 use serde_json::json;
 
 use crate::support;
-use crate::support::checker;
-use crate::support::cluster;
-use crate::support::cluster::Cluster;
-use crate::support::daemon;
-use crate::support::relay;
+use crate::support::deployment::checker;
+use crate::support::deployment::cluster;
+use crate::support::deployment::cluster::Cluster;
+use crate::support::deployment::daemon;
+use crate::support::deployment::relay;
 
 /// Requests of one case.
 const COUNT: usize = 12;
@@ -91,7 +91,7 @@
         cluster.controls[behind].kill();
         let entry = cluster.entries[1].id();
         for relay in &cluster.relays {
-            relay.set(entry, relay::Rule::BLACKHOLE);
+            relay.set(entry, relay::Rule::BLACKHOLE).await;
         }
         for number in 2..2 + TICKETS {
             let ticket = json!({
--- a/tests/testsuite/process_ticket.rs
+++ b/tests/testsuite/process_ticket.rs
@@ -3,9 +3,9 @@
 use serde_json::json;
 
 use crate::support;
-use crate::support::cluster;
-use crate::support::cluster::Cluster;
-use crate::support::daemon;
+use crate::support::deployment::cluster;
+use crate::support::deployment::cluster::Cluster;
+use crate::support::deployment::daemon;
 
 /// Races of one test.
 const RACES: u64 = 20;
@@ -15,7 +15,7 @@
 }
 
 /// The number of a refusal's reason.
-fn reason(response: &crate::support::client::Response) -> u64 {
+fn reason(response: &crate::support::deployment::client::Response) -> u64 {
     response.json()["reason"].as_u64().unwrap_or_default()
 }
 
@@ -55,7 +55,7 @@
         cluster
             .until("a leader answers", async || cluster.operate(1, "/v1/status").await.is_some())
             .await;
-        while answer.as_ref().is_none_or(|answer: &support::client::Response| reason(answer) == 0) {
+        while answer.as_ref().is_none_or(|answer: &support::deployment::client::Response| reason(answer) == 0) {
             answer = cluster.ticket(0, &last).await;
         }
         assert_eq!(reason(&answer.expect("a response")), REUSED);
--- a/tests/testsuite/support/checker.rs
+++ b/tests/testsuite/support/deployment/checker.rs
@@ -8,9 +8,9 @@
 use hemlockcleat::standin::record;
 use serde_json::json;
 
-use crate::support::client;
-use crate::support::cluster;
-use crate::support::cluster::Cluster;
+use crate::support::deployment::client;
+use crate::support::deployment::cluster;
+use crate::support::deployment::cluster::Cluster;
 
 /// How long a caller lets an entry wait for the end of its request.
 const WAIT: time::Duration = time::Duration::from_secs(15);
--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/deployment/cluster.rs
@@ -10,9 +10,9 @@
 use serde_json::json;
 use sha2::Digest as _;
 
-use crate::support::client;
-use crate::support::daemon;
-use crate::support::relay;
+use crate::support::deployment::client;
+use crate::support::deployment::daemon;
+use crate::support::deployment::relay;
 
 /// The operators' token.
 const OPERATOR: &str = "operator";
@@ -360,11 +360,11 @@
     }
 
     /// Silently cuts a replica off from its peers, both ways. Callers still reach it.
-    pub fn isolate(&self, index: usize) {
+    pub async fn isolate(&self, index: usize) {
         let rule = relay::Rule::BLACKHOLE;
         for other in (0..self.relays.len()).filter(|other| *other != index) {
-            self.relays[index].set(self.controls[other].id(), rule);
-            self.relays[other].set(self.controls[index].id(), rule);
+            self.relays[index].set(self.controls[other].id(), rule).await;
+            self.relays[other].set(self.controls[index].id(), rule).await;
         }
     }
 
--- a/tests/testsuite/support/daemon.rs
+++ b/tests/testsuite/support/deployment/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemons as child processes: started, signalled by their own ids, and always ended.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::net;
 use std::path;
@@ -39,6 +40,18 @@
     }
 }
 
+/// The daemons that run now.
+static RUNNING: sync::Mutex<BTreeSet<u32>> = sync::Mutex::new(BTreeSet::new());
+
+fn lock_running() -> sync::MutexGuard<'static, BTreeSet<u32>> {
+    RUNNING.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// The processes of the daemons that run now.
+pub fn running() -> BTreeSet<u32> {
+    lock_running().clone()
+}
+
 /// A program of the system.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Program {
@@ -86,6 +99,7 @@
             .stderr(errors)
             .spawn()
             .expect("the program starts");
+        lock_running().insert(child.id());
         Self { name: name.to_owned(), child, log }
     }
 
@@ -129,6 +143,7 @@
     fn end(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        lock_running().remove(&self.child.id());
     }
 }
 
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,14 +1,10 @@
 //! Fakes and helpers that several matters use.
 
-pub mod checker;
-pub mod client;
-pub mod cluster;
 pub mod control;
-pub mod daemon;
+pub mod deployment;
 pub mod fake_control;
 pub mod http_client;
 pub mod plans;
-pub mod relay;
 
 use std::future;
 
