--- /dev/null
+++ b/benches/decision/main.rs
@@ -0,0 +1,3 @@
+//! The cost of one decision.
+
+fn main() {}
--- a/src/core/placement/backfill.rs
+++ b/src/core/placement/backfill.rs
@@ -8,6 +8,7 @@
 
 use crate::core::account;
 use crate::core::ids;
+use crate::core::placement::decide;
 use crate::core::placement::estimate;
 use crate::core::placement::fleet;
 use crate::core::placement::planner::Planner;
@@ -15,8 +16,8 @@
 use crate::core::time;
 use crate::macros;
 
-/// Places kept at once.
-const MAX_FUTURES: usize = 2;
+/// Accelerators from which a single task counts as large.
+const LARGE: u32 = 4;
 
 /// The least time between two looks at the same future place.
 const REVIEW: time::Millis = time::Millis::from_secs(1);
@@ -24,6 +25,8 @@
 macros::plain! {
     /// A place kept for a job that can't start yet.
     pub struct Future {
+        /// Whether it is kept for the job that has waited longest, or for the first of the queue.
+        pub for_oldest: bool,
         /// The job.
         pub job: ids::JobKey,
         /// Its class.
@@ -48,10 +51,11 @@
     /// The kept places that a job must leave alone, because it might not end in time.
     pub(super) fn futures_against(&self, now: time::Tick, work: &work::Work) -> Vec<&Future> {
         let runs = &self.catalog.kinds[work.kind].runs;
+        let class = decide::effective_class(now, work);
         let end = now + runs.quantile(estimate::LONG, work.declared, 100);
         self.futures
             .iter()
-            .filter(|future| future.job != work.key && future.class <= work.class)
+            .filter(|future| future.job != work.key && future.class <= class)
             .filter(|future| future.at < end)
             .collect()
     }
@@ -59,7 +63,7 @@
     /// Keeps a place for a large job that was just found to have none.
     pub(super) fn plan_future(&mut self, now: time::Tick, key: ids::JobKey) {
         let Some(work) = self.jobs.get(&key) else { return };
-        let large = work.shape.tasks > 1 || work.shape.accelerators > 1;
+        let large = work.shape.tasks > 1 || work.shape.accelerators >= LARGE;
         if !large || work.class == account::Class::Idle {
             return;
         }
@@ -67,39 +71,48 @@
             .retain(|future| self.jobs.get(&future.job).is_some_and(|work| work.is_waiting()));
         let old = self.futures.iter().position(|future| future.job == key);
         if let Some(old) = old {
-            if now.0 < self.futures[old].planned.0 + REVIEW.0 {
-                return;
+            if now.0 >= self.futures[old].planned.0 + REVIEW.0 {
+                let old = self.futures.remove(old);
+                self.futures.extend(self.review(now, old));
             }
-            self.futures.remove(old);
-        }
-        if self.futures.len() >= MAX_FUTURES && !self.give_way(key) {
             return;
         }
-        if let Some(future) = self.earliest(now, key) {
-            self.futures.push(future);
+        let Some(for_oldest) = self.entitled(key) else { return };
+        self.futures.retain(|future| future.for_oldest != for_oldest);
+        self.futures.extend(self.earliest(now, key, for_oldest));
+    }
+
+    /// Looks at a kept place again. It is given up only for one that is open in half the time, so
+    /// that work does not drain from one place after another.
+    fn review(&self, now: time::Tick, old: Future) -> Option<Future> {
+        let work = self.jobs.get(&old.job)?;
+        let region: Vec<_> = old.workers.iter().copied().collect();
+        let same = self.start_in(now, work, &region);
+        let best = self.earliest(now, old.job, old.for_oldest);
+        match (same, best) {
+            (Some((at, _)), Some(best)) if (best.at - now).0 * 2 < (at - now).0 => Some(best),
+            (Some((at, _)), _) => Some(Future { at, planned: now, ..old }),
+            (None, best) => best,
         }
     }
 
-    /// Drops the last kept place if its job comes after this one.
-    fn give_way(&mut self, key: ids::JobKey) -> bool {
+    /// Which of the two kept places a job is entitled to, if any: that of the first job of the
+    /// queue, or that of the job that has waited longest.
+    fn entitled(&self, key: ids::JobKey) -> Option<bool> {
         let work = &self.jobs[&key];
-        let last = self
-            .futures
-            .iter()
-            .enumerate()
-            .filter_map(|(index, future)| Some((index, self.jobs.get(&future.job)?)))
-            .max_by(|(_, a), (_, b)| self.comes_before(a, b));
-        match last {
-            Some((index, other)) if self.comes_before(work, other).is_lt() => {
-                self.futures.remove(index);
-                true
-            }
-            _ => false,
+        let holder = |for_oldest: bool| {
+            let future = self.futures.iter().find(|future| future.for_oldest == for_oldest)?;
+            self.jobs.get(&future.job)
+        };
+        if holder(false).is_none_or(|other| self.comes_before(work, other).is_lt()) {
+            return Some(false);
         }
+        let older = |other: &work::Work| (work.submitted, work.key) < (other.submitted, other.key);
+        holder(true).is_none_or(older).then_some(true)
     }
 
     /// The region in which the job could start first, as far as run times are known.
-    fn earliest(&self, now: time::Tick, key: ids::JobKey) -> Option<Future> {
+    fn earliest(&self, now: time::Tick, key: ids::JobKey, for_oldest: bool) -> Option<Future> {
         let work = self.jobs.get(&key)?;
         let best = self
             .regions(work.shape.adjacency)
@@ -107,7 +120,8 @@
             .filter_map(|region| self.start_in(now, work, &region))
             .min_by(|a, b| a.0.cmp(&b.0))?;
         let (at, workers) = best;
-        Some(Future { job: key, class: work.class, at, planned: now, workers })
+        let class = decide::effective_class(now, work);
+        Some(Future { for_oldest, job: key, class, at, planned: now, workers })
     }
 
     /// When the tasks of a job would all have room in a region, and on which workers.
--- a/src/core/placement/decide.rs
+++ b/src/core/placement/decide.rs
@@ -59,8 +59,7 @@
     fn rank(&self, now: time::Tick, group: usize) -> Option<Rank> {
         let state = self.queue.group(group);
         let work = self.jobs.get(&state.head()?)?;
-        let aged = state.class == account::Class::Deferred && now - work.submitted >= AGEING;
-        let class = if aged { account::Class::Scheduled } else { state.class };
+        let class = effective_class(now, work);
         Some((class, self.over_share(state.account), self.latest_start(work), group))
     }
 
@@ -284,8 +283,14 @@
         fit::find(&self.empty, &ask).is_some()
     }
 
-    /// The order in which two jobs of one class stand to each other.
+    /// The order in which two jobs stand to each other.
     pub(super) fn comes_before(&self, a: &work::Work, b: &work::Work) -> cmp::Ordering {
         (a.class, self.latest_start(a), a.key).cmp(&(b.class, self.latest_start(b), b.key))
     }
 }
+
+/// The class that a job counts as: deferred work counts as scheduled once it has waited long.
+pub(super) fn effective_class(now: time::Tick, work: &work::Work) -> account::Class {
+    let aged = work.class == account::Class::Deferred && now - work.submitted >= AGEING;
+    if aged { account::Class::Scheduled } else { work.class }
+}
--- a/src/core/placement/displace.rs
+++ b/src/core/placement/displace.rs
@@ -17,9 +17,6 @@
 /// Lent jobs looked at for a job that goes first.
 const MAX_LENT: usize = 64;
 
-/// Places found among them before the cheapest is taken.
-const MAX_FOUND: usize = 8;
-
 /// How long a gang waits before running work is moved for it.
 const STARVING: time::Millis = time::Millis::from_secs(20);
 
@@ -125,7 +122,7 @@
         let mut found = Vec::new();
         for victim in lent.take_while(|victim| later(victim)) {
             for &(worker, _) in &victim.place {
-                if found.len() >= MAX_FOUND || !seen.insert(worker) {
+                if !seen.insert(worker) {
                     continue;
                 }
                 let place = vec![(worker, 1)];
@@ -160,7 +157,7 @@
             let kind = &self.catalog.kinds[victim.kind];
             let small = victim.accelerators() * 4 <= work.accelerators();
             victim.class >= work.class
-                && (small || victim.class > work.class)
+                && (small || victim.class > work.class || self.yields(now, victim, work))
                 && kind.repeatable
                 && kind.checkpoint.is_some()
         };
@@ -180,6 +177,17 @@
         best.map(|(_, place, victims)| (place, victims))
     }
 
+    /// Whether a straggler will run so much longer that the job had better run first.
+    fn yields(&self, now: time::Tick, victim: &work::Work, work: &work::Work) -> bool {
+        let elapsed = victim.elapsed(now);
+        let runs = &self.catalog.kinds[victim.kind].runs;
+        let speed = self.speed(&victim.place);
+        let left = runs.remaining(estimate::USUAL, victim.declared, speed, elapsed);
+        let runs = &self.catalog.kinds[work.kind].runs;
+        let span = runs.quantile(estimate::USUAL, work.declared, speed);
+        victim.is_lent() && left.0 > span.0.saturating_mul(MARGIN)
+    }
+
     /// Spreads a gang over a region as if all movable work were gone, fullest workers last.
     fn movable_place(
         &self,
--- a/src/core/placement/fit.rs
+++ b/src/core/placement/fit.rs
@@ -10,6 +10,9 @@
 /// The most workers looked at for a job that takes one worker.
 const MAX_PROBES: usize = 2048;
 
+/// The most racks of a data centre looked at for such a job before the workers are.
+const MAX_RACKS: usize = 64;
+
 /// A place: workers by their position in the fleet, with the number of tasks on each.
 pub type Place = Vec<(usize, u32)>;
 
@@ -73,6 +76,9 @@
 
 fn on_worker(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
     let tasks = ask.shape.tasks;
+    if let Some(worker) = in_fullest_rack(fleet, ask) {
+        return Some(vec![(worker, tasks)]);
+    }
     for pool in pools(fleet, ask) {
         let worker = fleet
             .fitting(pool, ask.room, ask.wanted())
@@ -85,6 +91,26 @@
     None
 }
 
+/// The best fit of a good worker in the rack with the least room, among the first racks looked at.
+fn in_fullest_rack(fleet: &fleet::Fleet, ask: &Ask) -> Option<usize> {
+    let fits = |worker: &usize| {
+        fleet.workers[*worker].trust == fleet::Trust::Good
+            && ask.tasks_on(fleet, *worker) >= ask.shape.tasks
+    };
+    let best_in = |rack: usize| {
+        let workers = fleet.racks[rack].workers.iter().copied().filter(fits);
+        workers.min_by_key(|&worker| (fleet.room(worker, ask.room).accelerators, worker))
+    };
+    let best_of = |center: usize| {
+        fleet
+            .racks_from(center, ask.room, ask.wanted())
+            .take(MAX_RACKS)
+            .find_map(|(room, rack)| Some((room, best_in(rack)?)))
+    };
+    let centers = 0..fleet.centers.len();
+    centers.filter_map(best_of).min().map(|(_, worker)| worker)
+}
+
 fn on_rack(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
     let mut best: Option<(i64, Place)> = None;
     for center in 0..fleet.centers.len() {
--- a/src/core/placement/queue.rs
+++ b/src/core/placement/queue.rs
@@ -18,8 +18,6 @@
 /// A group of equal waiting jobs.
 #[derive(Clone, Debug)]
 pub struct Group {
-    /// The class.
-    pub class: account::Class,
     /// The account.
     pub account: usize,
     /// The state of the fleet at which the group last found no place; 0 if it was not tried.
@@ -55,12 +53,7 @@
         let next = self.groups.len();
         let index = *self.names.entry(name).or_insert(next);
         if index == next {
-            self.groups.push(Group {
-                class: work.class,
-                account: work.account,
-                blocked: 0,
-                waiting: BTreeSet::new(),
-            });
+            self.groups.push(Group { account: work.account, blocked: 0, waiting: BTreeSet::new() });
         }
         if self.groups[index].waiting.insert((work.deadline, work.key)) {
             self.counts[work.class as usize] += 1;
