Add the operator command

Cause: operators and callers had only raw HTTP. Ruled out: resending in the command (the entry is the one layer that sends again); one exit code for all refusals (scripts must tell not-run from doubt). Before: an empty main. Conclusion: the verdict reaches the shell as an exit code.

--- a/src/bin/hemlockcleat.rs
+++ b/src/bin/hemlockcleat.rs
@@ -1,3 +1,10 @@
 //! The operator command.
 
-fn main() {}
+use std::env;
+use std::process;
+
+use hemlockcleat::cli;
+
+fn main() -> process::ExitCode {
+    cli::main(env::args_os())
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,1 +1,168 @@
 //! The operator command: a file a subcommand, each with `cli()` and `exec()`.
+
+use std::env;
+use std::ffi;
+use std::fs;
+use std::path;
+use std::process;
+
+use clap::Args as _;
+
+pub mod account;
+pub mod check_settings;
+pub mod client;
+pub mod completions;
+pub mod error;
+pub mod job;
+pub mod print;
+pub mod request;
+pub mod status;
+pub mod ticket;
+pub mod worker;
+
+/// The entry that is asked where none is named.
+const DEFAULT_ENTRY: &str = "http://127.0.0.1:8080";
+
+/// The environment's variable with the entry's URL.
+const ENTRY_VARIABLE: &str = "HEMLOCKCLEAT_ENTRY";
+
+/// The environment's variable with the bearer token.
+const TOKEN_VARIABLE: &str = "HEMLOCKCLEAT_TOKEN";
+
+/// Options of every subcommand.
+#[derive(Clone, Debug, clap::Args)]
+struct Globals {
+    /// The entry's URL [env: HEMLOCKCLEAT_ENTRY] [default: http://127.0.0.1:8080]
+    #[arg(long, global = true, value_name = "URL")]
+    entry: Option<String>,
+    /// A file with the bearer token; without it the token is taken from HEMLOCKCLEAT_TOKEN
+    #[arg(long, global = true, value_name = "FILE")]
+    token_file: Option<path::PathBuf>,
+    /// How results are printed
+    #[arg(long, global = true, value_enum, default_value_t)]
+    output: print::Output,
+}
+
+/// What every subcommand gets.
+#[derive(Clone, Debug)]
+pub struct Context {
+    /// The entry.
+    pub client: client::Client,
+    /// How results are printed.
+    pub output: print::Output,
+}
+
+const AFTER_HELP: &str = "\
+Exit codes:
+  0  done
+  1  failed in another way
+  2  the arguments, a file or settings can't be used; nothing was sent
+  3  refused: it did not run, or the ticket was not applied
+  4  in doubt: it may have run, or the ticket may have been applied
+  5  it ran, but there is no answer
+  6  the entry can't be reached; nothing was sent
+  7  the request has not ended yet
+
+Examples:
+  hemlockcleat demo
+  hemlockcleat check-settings --role entry entry.json
+  hemlockcleat ticket plan 0007-accounts.json
+  hemlockcleat ticket apply 0007-accounts.json
+  hemlockcleat --output json status
+  hemlockcleat request submit --account swan-coast --service booking \\
+      --kind rebuild --run-time-ms 60000 --payload 'round 7' --wait 30000 round-7";
+
+/// The whole command line.
+pub fn cli() -> clap::Command {
+    let command = clap::Command::new("hemlockcleat")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Operates hemlockcleat, a scheduler for multi-accelerator jobs")
+        .after_help(AFTER_HELP)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(account::cli())
+        .subcommand(check_settings::cli())
+        .subcommand(completions::cli())
+        .subcommand(job::cli())
+        .subcommand(request::cli())
+        .subcommand(status::cli())
+        .subcommand(ticket::cli())
+        .subcommand(worker::cli());
+    Globals::augment_args(command)
+}
+
+/// Runs the command with the program's arguments.
+pub fn main(args: impl IntoIterator<Item = ffi::OsString>) -> process::ExitCode {
+    let matches = match cli().try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(error) => {
+            let usage = if error.use_stderr() { error::EXIT_USAGE } else { error::EXIT_OK };
+            // Help that can't be printed can't be reported either.
+            let _ = error.print();
+            return process::ExitCode::from(usage);
+        }
+    };
+    match actix_rt::System::new().block_on(exec(&matches)) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            report(&error);
+            process::ExitCode::from(error.code())
+        }
+    }
+}
+
+/// Prints an error with its causes.
+fn report(error: &error::Error) {
+    eprintln!("error: {error}");
+    let mut cause = std::error::Error::source(error);
+    while let Some(source) = cause {
+        let next = source.source();
+        // A cause that only repeats the line above it helps nobody.
+        if next.is_some() {
+            eprintln!("  caused by: {source}");
+        }
+        cause = next;
+    }
+}
+
+async fn exec(matches: &clap::ArgMatches) -> Result<(), error::Error> {
+    let context = context(matches)?;
+    match matches.subcommand() {
+        Some(("account", args)) => account::exec(&context, args).await,
+        Some(("check-settings", args)) => check_settings::exec(&context, args),
+        Some(("completions", args)) => completions::exec(args),
+        Some(("job", args)) => job::exec(&context, args).await,
+        Some(("request", args)) => request::exec(&context, args).await,
+        Some(("status", _)) => status::exec(&context).await,
+        Some(("ticket", args)) => ticket::exec(&context, args).await,
+        Some(("worker", args)) => worker::exec(&context, args).await,
+        _ => Err(error::Error::Usage("name a subcommand; see --help".to_owned())),
+    }
+}
+
+fn context(matches: &clap::ArgMatches) -> Result<Context, error::Error> {
+    let globals: Globals = parse(matches)?;
+    let token = match &globals.token_file {
+        Some(file) => Some(read_token(file)?),
+        None => env::var(TOKEN_VARIABLE).ok().filter(|token| !token.is_empty()),
+    };
+    let url = globals.entry.or_else(|| env::var(ENTRY_VARIABLE).ok());
+    let url = url.unwrap_or_else(|| DEFAULT_ENTRY.to_owned());
+    Ok(Context { client: client::Client { url, token }, output: globals.output })
+}
+
+fn read_token(file: &path::Path) -> Result<String, error::Error> {
+    let text = fs::read_to_string(file)
+        .map_err(|source| error::Error::File(file.to_path_buf(), source))?;
+    Ok(text.trim().to_owned())
+}
+
+/// Reads a subcommand's arguments.
+pub fn parse<T: clap::FromArgMatches>(matches: &clap::ArgMatches) -> Result<T, error::Error> {
+    T::from_arg_matches(matches).map_err(|error| error::Error::Usage(error.to_string()))
+}
+
+/// Reads the entry's JSON as the type that it should be.
+pub fn read<T: serde::de::DeserializeOwned>(value: serde_json::Value) -> Result<T, error::Error> {
+    serde_json::from_value(value).map_err(|error| error::Error::Response(200, error.to_string()))
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
+mod cli;
 mod entry;
 mod entry_faults;
 mod gang;
@@ -7,8 +8,8 @@
 mod ledger;
 mod limit;
 mod placement;
-mod settings;
 mod placement_random;
+mod settings;
 mod settings_examples;
 mod support;
 mod telemetry;
