--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod entry_faults;
 mod gang;
+mod agent;
 mod lease;
 mod ledger;
 mod limit;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fake_control;
 pub mod http_client;
+pub mod control;
 pub mod plans;
 
 use std::future;
