--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,18 +1,21 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
+mod agent;
+mod cli;
 mod entry;
+mod entry_contract;
 mod entry_faults;
+mod entry_page;
 mod gang;
-mod agent;
 mod lease;
 mod ledger;
 mod limit;
 mod placement;
-mod settings;
 mod placement_random;
-mod settings_examples;
 mod replica;
 mod replica_support;
+mod settings;
+mod settings_examples;
 mod support;
 mod telemetry;
 mod verdict;
