Split the agent's state by its matters

Ruled out: nothing; no behaviour changes. Change: inputs and outputs in step, the stages of a task in task; items named through modules.

--- a/src/agent/state/gangs.rs
+++ b/src/agent/state/gangs.rs
@@ -1,15 +1,11 @@
 //! The part of the state that carries out what control says of gangs.
 
 use crate::agent::contract;
-use crate::agent::state::Output;
 use crate::agent::state::Presence;
 use crate::agent::state::State;
-use crate::agent::state::member::Begun;
-use crate::agent::state::member::Cause;
-use crate::agent::state::member::Fetched;
-use crate::agent::state::member::Member;
-use crate::agent::state::member::Phase;
-use crate::agent::state::member::Seen;
+use crate::agent::state::member;
+use crate::agent::state::step;
+use crate::agent::state::task;
 use crate::core::ids;
 use crate::core::time;
 use crate::wire::agent;
@@ -23,7 +19,7 @@
 /// Attempts that may be remembered as ended before control forgets them.
 const MAX_MEMBERS: usize = 1024;
 
-type Out = Vec<Output>;
+type Out = Vec<step::Output>;
 
 impl State {
     pub(super) fn prepare(&mut self, now: time::Tick, prepare: agent::Prepare, out: &mut Out) {
@@ -31,7 +27,7 @@
         let refusal = self.check_prepare(now, prepare).err();
         let ok = refusal.is_none();
         let detail = refusal.unwrap_or_default();
-        out.push(Output::Send(agent::Up::Prepared { attempt, ok, detail }));
+        out.push(step::Output::Send(agent::Up::Prepared { attempt, ok, detail }));
     }
 
     /// Keeps room for an attempt, or says why not.
@@ -40,8 +36,8 @@
         if let Some(member) = self.members.get_mut(&attempt) {
             member.touch(now);
             return match member.phase() {
-                Phase::Ended(_) => Err("the attempt has ended here".to_owned()),
-                Phase::Prepared if *member.prepare() != prepare => {
+                task::Phase::Ended(_) => Err("the attempt has ended here".to_owned()),
+                task::Phase::Prepared if *member.prepare() != prepare => {
                     Err("the attempt was prepared here in another form".to_owned())
                 }
                 _ => Ok(()),
@@ -51,7 +47,7 @@
         self.check_open(now, &prepare)?;
         self.check_job(attempt)?;
         self.check_room(&prepare)?;
-        self.members.insert(attempt, Member::new(now, prepare));
+        self.members.insert(attempt, member::Member::new(now, prepare));
         Ok(())
     }
 
@@ -90,7 +86,7 @@
             return Err(format!("service {} is not offered here", prepare.service));
         }
         let occupied = self.members.values().filter(|member| member.occupies());
-        let prepares = occupied.map(Member::prepare).chain([prepare]);
+        let prepares = occupied.map(member::Member::prepare).chain([prepare]);
         let (mut tasks, mut accelerators) = (0_u64, 0_u64);
         for prepare in prepares {
             tasks += u64::from(prepare.tasks);
@@ -121,18 +117,18 @@
             return;
         };
         match member.phase() {
-            Phase::Prepared => match until {
+            task::Phase::Prepared => match until {
                 Some(until) if !late && epoch.0 == member.prepare().epoch => {
                     member.begin(until, out);
                 }
-                _ => member.halt(now, Cause::Ordered, time::Millis(0), out),
+                _ => member.halt(now, task::Cause::Ordered, time::Millis(0), out),
             },
-            Phase::Active | Phase::Fetching => {
+            task::Phase::Active | task::Phase::Fetching => {
                 if member.started() {
-                    out.push(Output::Send(agent::Up::Started { attempt: attempt.into() }));
+                    out.push(step::Output::Send(agent::Up::Started { attempt: attempt.into() }));
                 }
             }
-            Phase::Ended(result) => out.push(ended(attempt, result.clone())),
+            task::Phase::Ended(result) => out.push(ended(attempt, result.clone())),
         }
     }
 
@@ -160,8 +156,8 @@
     ) {
         match self.members.get_mut(&attempt) {
             Some(member) => match member.phase() {
-                Phase::Ended(result) => out.push(ended(attempt, result.clone())),
-                _ => member.halt(now, Cause::Ordered, grace, out),
+                task::Phase::Ended(result) => out.push(ended(attempt, result.clone())),
+                _ => member.halt(now, task::Cause::Ordered, grace, out),
             },
             None => {
                 let never = self.tombs.never_started(attempt);
@@ -180,22 +176,22 @@
     /// Drops an attempt whose end is stored. One that still runs here is stopped and kept.
     pub(super) fn forget(&mut self, now: time::Tick, attempt: ids::AttemptKey, out: &mut Out) {
         let Some(member) = self.members.get_mut(&attempt) else { return };
-        let Phase::Ended(result) = member.phase() else {
-            member.halt(now, Cause::Ordered, time::Millis(0), out);
+        let task::Phase::Ended(result) = member.phase() else {
+            member.halt(now, task::Cause::Ordered, time::Millis(0), out);
             return;
         };
         let never = *result == agent::TaskResult::NotStarted;
         let tasks = member.keys().collect();
         self.members.remove(&attempt);
         self.tombs.insert(attempt, never);
-        out.push(Output::Discard { attempt, tasks });
+        out.push(step::Output::Discard { attempt, tasks });
     }
 
     pub(super) fn begun(
         &mut self,
         now: time::Tick,
         task: contract::TaskKey,
-        begun: Begun,
+        begun: task::Begun,
         out: &mut Out,
     ) {
         if let Some(member) = self.members.get_mut(&task.attempt) {
@@ -207,7 +203,7 @@
         &mut self,
         now: time::Tick,
         task: contract::TaskKey,
-        seen: Seen,
+        seen: task::Seen,
         out: &mut Out,
     ) {
         if let Some(member) = self.members.get_mut(&task.attempt) {
@@ -219,7 +215,7 @@
         &mut self,
         now: time::Tick,
         attempt: ids::AttemptKey,
-        fetched: Fetched,
+        fetched: task::Fetched,
         out: &mut Out,
     ) {
         if let Some(member) = self.members.get_mut(&attempt) {
@@ -236,14 +232,14 @@
     /// Stops everything at once: nothing may run here any more.
     pub(super) fn lose_all(&mut self, now: time::Tick, detail: &str, out: &mut Out) {
         for member in self.members.values_mut() {
-            member.halt(now, Cause::Lost(detail.to_owned()), time::Millis(0), out);
+            member.halt(now, task::Cause::Lost(detail.to_owned()), time::Millis(0), out);
         }
     }
 
     /// Stops everything after the grace, because the agent itself must end.
     pub(super) fn stop_all(&mut self, now: time::Tick, grace: time::Millis, out: &mut Out) {
         for member in self.members.values_mut() {
-            member.halt(now, Cause::Ordered, grace, out);
+            member.halt(now, task::Cause::Ordered, grace, out);
         }
     }
 
@@ -258,23 +254,23 @@
         for member in self.members.values_mut() {
             let quiet = now - member.told();
             match member.phase() {
-                Phase::Prepared if quiet >= PREPARE_LIMIT => {
-                    member.halt(now, Cause::Ordered, time::Millis(0), out);
+                task::Phase::Prepared if quiet >= PREPARE_LIMIT => {
+                    member.halt(now, task::Cause::Ordered, time::Millis(0), out);
                 }
-                Phase::Prepared => {}
-                Phase::Active | Phase::Fetching => {
+                task::Phase::Prepared => {}
+                task::Phase::Active | task::Phase::Fetching => {
                     member.press(now, out);
                     member.abandon(now, self.granted, out);
                 }
-                Phase::Ended(_) if self.connected && now >= member.due() => {
+                task::Phase::Ended(_) if self.connected && now >= member.due() => {
                     member.report(now, out);
                 }
-                Phase::Ended(_) => {}
+                task::Phase::Ended(_) => {}
             }
         }
     }
 }
 
-fn ended(attempt: ids::AttemptKey, result: agent::TaskResult) -> Output {
-    Output::Send(agent::Up::Ended { attempt: attempt.into(), result })
+fn ended(attempt: ids::AttemptKey, result: agent::TaskResult) -> step::Output {
+    step::Output::Send(agent::Up::Ended { attempt: attempt.into(), result })
 }
--- a/src/agent/state/member.rs
+++ b/src/agent/state/member.rs
@@ -3,12 +3,11 @@
 use std::rc;
 
 use crate::agent::contract;
-use crate::agent::state::Output;
+use crate::agent::state::step;
+use crate::agent::state::task;
 use crate::core::ids;
 use crate::core::time;
-use crate::macros;
 use crate::wire::agent;
-use crate::wire::common;
 
 /// How long after an order to stop it is given again to a task that has not ended.
 const STOP_RESEND: time::Millis = time::Millis(500);
@@ -28,109 +27,13 @@
 /// How long after the backend server's own lease its tasks are taken as gone.
 const BACKEND_MARGIN: time::Millis = time::Millis(500);
 
-macros::plain! {
-    /// What became of the order to start one task.
-    pub enum Begun {
-        /// The backend server runs it.
-        Accepted,
-        /// It was not started, and this order will not start it.
-        Refused(String),
-        /// The order may or may not have arrived.
-        Unknown(String),
-    }
-
-    /// What the backend server says of one task.
-    pub enum Seen {
-        /// It runs.
-        Running,
-        /// It has ended.
-        Ended(TaskEnd),
-        /// The backend server did not answer, or answered about another task.
-        Unreachable(String),
-    }
-
-    /// How one task ended.
-    pub enum TaskEnd {
-        /// Well, with this answer.
-        Done(common::AnswerMeta),
-        /// Badly.
-        Failed(String),
-        /// It was stopped.
-        Stopped,
-        /// The backend server knows nothing of it, or must have stopped it under its lease.
-        Gone(String),
-    }
-
-    /// Why a member's tasks are stopped.
-    pub enum Cause {
-        /// Control ordered it, or the agent's planned stop did.
-        Ordered,
-        /// The lease ended or the backend server is out of reach.
-        Lost(String),
-        /// A task failed or was refused, so that the others are of no use.
-        Broken,
-    }
-
-    /// Where one task stands.
-    enum Task {
-        /// The order to start it is under way.
-        Beginning,
-        /// The backend server has taken it, or may have.
-        Running {
-            /// Since when it has been out of reach.
-            silent: Option<time::Tick>,
-        },
-        /// It was not started, and never will be.
-        Refused(String),
-        /// It has ended.
-        Ended(TaskEnd),
-    }
-
-    /// Where a member stands.
-    pub enum Phase {
-        /// Its tasks have their room; nothing is started.
-        Prepared,
-        /// Its tasks are starting, running or stopping.
-        Active,
-        /// All tasks ended well; the answer is being fetched.
-        Fetching,
-        /// Nothing of it runs here any more.
-        Ended(agent::TaskResult),
-    }
-
-    /// An order to stop that is being carried out.
-    struct Halt {
-        cause: Cause,
-        since: time::Tick,
-        /// When the time to checkpoint is over.
-        until: time::Tick,
-        /// When the order was last given to the backend server.
-        posted: Option<time::Tick>,
-    }
-}
-
-impl TaskEnd {
-    /// Why the other tasks here are stopped after this end; none if they may go on.
-    fn cause(&self) -> Option<Cause> {
-        match self {
-            TaskEnd::Done(_) => None,
-            TaskEnd::Failed(_) => Some(Cause::Broken),
-            TaskEnd::Stopped => {
-                let detail = "the backend server stopped the task without an order";
-                Some(Cause::Lost(detail.to_owned()))
-            }
-            TaskEnd::Gone(detail) => Some(Cause::Lost(detail.clone())),
-        }
-    }
-}
-
 /// The tasks of one attempt on this worker.
 pub struct Member {
     attempt: ids::AttemptKey,
     prepare: rc::Rc<agent::Prepare>,
-    phase: Phase,
-    tasks: Vec<Task>,
-    halt: Option<Halt>,
+    phase: task::Phase,
+    tasks: Vec<task::Stage>,
+    halt: Option<task::Halt>,
     /// Why nobody can tell what became of a task.
     doubt: Option<String>,
     /// When the preparation, or the end, was last told.
@@ -139,7 +42,7 @@
     reports: u32,
 }
 
-type Out = Vec<Output>;
+type Out = Vec<step::Output>;
 
 impl Member {
     /// Keeps room for the tasks.
@@ -147,7 +50,7 @@
         Self {
             attempt: prepare.attempt.clone().into(),
             prepare: rc::Rc::new(prepare),
-            phase: Phase::Prepared,
+            phase: task::Phase::Prepared,
             tasks: Vec::new(),
             halt: None,
             doubt: None,
@@ -157,7 +60,7 @@
     }
 
     /// Where it stands.
-    pub fn phase(&self) -> &Phase {
+    pub fn phase(&self) -> &task::Phase {
         &self.phase
     }
 
@@ -168,17 +71,17 @@
 
     /// Whether its tasks take up room, now or as promised.
     pub fn occupies(&self) -> bool {
-        matches!(self.phase, Phase::Prepared | Phase::Active)
+        matches!(self.phase, task::Phase::Prepared | task::Phase::Active)
     }
 
     /// Whether its tasks may be running at the backend server.
     pub fn active(&self) -> bool {
-        self.phase == Phase::Active
+        self.phase == task::Phase::Active
     }
 
     /// Whether a stop has gone unconfirmed for longer than `limit`.
     pub fn overdue(&self, now: time::Tick, limit: time::Millis) -> bool {
-        let late = |halt: &Halt| now >= halt.until + limit;
+        let late = |halt: &task::Halt| now >= halt.until + limit;
         self.active() && self.halt.as_ref().is_some_and(late)
     }
 
@@ -207,24 +110,26 @@
 
     /// Orders the start of all tasks, none of them later than `until`.
     pub fn begin(&mut self, until: time::Tick, out: &mut Out) {
-        self.phase = Phase::Active;
+        self.phase = task::Phase::Active;
         for task in self.keys() {
-            self.tasks.push(Task::Beginning);
-            out.push(Output::Begin { task, prepare: self.prepare.clone(), until });
+            self.tasks.push(task::Stage::Beginning);
+            out.push(step::Output::Begin { task, prepare: self.prepare.clone(), until });
         }
     }
 
     /// Whether all tasks were taken by the backend server.
     pub fn started(&self) -> bool {
-        let taken = |task: &Task| matches!(task, Task::Running { .. } | Task::Ended(_));
+        let taken = |task: &task::Stage| {
+            matches!(task, task::Stage::Running { .. } | task::Stage::Ended(_))
+        };
         match self.phase {
-            Phase::Active => self.doubt.is_none() && self.tasks.iter().all(taken),
-            Phase::Fetching => true,
-            Phase::Prepared | Phase::Ended(_) => false,
+            task::Phase::Active => self.doubt.is_none() && self.tasks.iter().all(taken),
+            task::Phase::Fetching => true,
+            task::Phase::Prepared | task::Phase::Ended(_) => false,
         }
     }
 
-    fn task(&mut self, index: u32) -> Option<&mut Task> {
+    fn task(&mut self, index: u32) -> Option<&mut task::Stage> {
         let index = index.checked_sub(self.prepare.first)?;
         self.tasks.get_mut(index as usize)
     }
@@ -234,55 +139,55 @@
     }
 
     /// Takes what became of the order to start a task.
-    pub fn begun(&mut self, now: time::Tick, index: u32, begun: Begun, out: &mut Out) {
+    pub fn begun(&mut self, now: time::Tick, index: u32, begun: task::Begun, out: &mut Out) {
         let key = self.key(index);
         let halted = self.halt.is_some();
         let Some(task) = self.task(index) else { return };
-        if *task != Task::Beginning {
+        if *task != task::Stage::Beginning {
             return;
         }
         match begun {
-            Begun::Accepted => *task = Task::Running { silent: None },
-            Begun::Refused(detail) => {
-                *task = Task::Refused(detail);
-                self.halt(now, Cause::Broken, time::Millis(0), out);
+            task::Begun::Accepted => *task = task::Stage::Running { silent: None },
+            task::Begun::Refused(detail) => {
+                *task = task::Stage::Refused(detail);
+                self.halt(now, task::Cause::Broken, time::Millis(0), out);
             }
-            Begun::Unknown(detail) => {
-                *task = Task::Running { silent: None };
+            task::Begun::Unknown(detail) => {
+                *task = task::Stage::Running { silent: None };
                 self.doubt(detail);
-                self.halt(now, Cause::Broken, time::Millis(0), out);
+                self.halt(now, task::Cause::Broken, time::Millis(0), out);
             }
         }
-        if matches!(self.task(index), Some(Task::Running { .. })) {
-            out.push(Output::Watch { task: key, pause: time::Millis(0) });
+        if self.task(index).is_some_and(|task| task.is_running()) {
+            out.push(step::Output::Watch { task: key, pause: time::Millis(0) });
         }
         if !halted && self.started() {
-            out.push(Output::Send(agent::Up::Started { attempt: self.attempt.into() }));
+            out.push(step::Output::Send(agent::Up::Started { attempt: self.attempt.into() }));
         }
         self.settle(now, out);
     }
 
     /// Takes what the backend server says of a task.
-    pub fn watched(&mut self, now: time::Tick, index: u32, seen: Seen, out: &mut Out) {
+    pub fn watched(&mut self, now: time::Tick, index: u32, seen: task::Seen, out: &mut Out) {
         let key = self.key(index);
         let Some(task) = self.task(index) else { return };
-        let Task::Running { silent } = task else { return };
+        let task::Stage::Running { silent } = task else { return };
         match seen {
-            Seen::Running => {
+            task::Seen::Running => {
                 *silent = None;
-                out.push(Output::Watch { task: key, pause: time::Millis(0) });
+                out.push(step::Output::Watch { task: key, pause: time::Millis(0) });
             }
-            Seen::Unreachable(detail) => {
+            task::Seen::Unreachable(detail) => {
                 let since = *silent.get_or_insert(now);
-                out.push(Output::Watch { task: key, pause: UNREACHABLE_PAUSE });
+                out.push(step::Output::Watch { task: key, pause: UNREACHABLE_PAUSE });
                 if now - since >= UNREACHABLE_LIMIT {
                     self.doubt(detail);
-                    self.halt(now, Cause::Broken, time::Millis(0), out);
+                    self.halt(now, task::Cause::Broken, time::Millis(0), out);
                 }
             }
-            Seen::Ended(end) => {
+            task::Seen::Ended(end) => {
                 let cause = end.cause();
-                *task = Task::Ended(end);
+                *task = task::Stage::Ended(end);
                 if let Some(cause) = cause {
                     self.halt(now, cause, time::Millis(0), out);
                 }
@@ -296,28 +201,34 @@
     }
 
     /// Stops what is left, after `grace` to checkpoint. The first cause stays; a shorter grace wins.
-    pub fn halt(&mut self, now: time::Tick, cause: Cause, grace: time::Millis, out: &mut Out) {
+    pub fn halt(
+        &mut self,
+        now: time::Tick,
+        cause: task::Cause,
+        grace: time::Millis,
+        out: &mut Out,
+    ) {
         let until = now + grace;
         match &mut self.halt {
             Some(halt) => halt.until = halt.until.min(until),
             None => {
-                self.halt = Some(Halt { cause, since: now, until, posted: None });
+                self.halt = Some(task::Halt { cause, since: now, until, posted: None });
                 if grace > time::Millis(0) {
                     self.checkpoint(grace, out);
                 }
             }
         }
         match self.phase {
-            Phase::Prepared => self.end(now, agent::TaskResult::NotStarted, out),
-            Phase::Active | Phase::Fetching => self.press(now, out),
-            Phase::Ended(_) => {}
+            task::Phase::Prepared => self.end(now, agent::TaskResult::NotStarted, out),
+            task::Phase::Active | task::Phase::Fetching => self.press(now, out),
+            task::Phase::Ended(_) => {}
         }
     }
 
     fn checkpoint(&self, grace: time::Millis, out: &mut Out) {
         for (task, key) in self.tasks.iter().zip(self.keys()) {
-            if matches!(task, Task::Running { .. }) {
-                out.push(Output::Checkpoint { task: key, grace });
+            if task.is_running() {
+                out.push(step::Output::Checkpoint { task: key, grace });
             }
         }
     }
@@ -325,8 +236,8 @@
     /// Holds the running tasks to a share of their speed.
     pub fn throttle(&self, percent: u32, out: &mut Out) {
         for (task, key) in self.tasks.iter().zip(self.keys()) {
-            if matches!(task, Task::Running { .. }) {
-                out.push(Output::Throttle { task: key, percent });
+            if task.is_running() {
+                out.push(step::Output::Throttle { task: key, percent });
             }
         }
     }
@@ -337,9 +248,9 @@
         if now < halt.until {
             return;
         }
-        if self.phase == Phase::Fetching {
+        if self.phase == task::Phase::Fetching {
             // The tasks have ended already; an order gives up the answer, nothing else does.
-            if halt.cause == Cause::Ordered {
+            if halt.cause == task::Cause::Ordered {
                 self.end(now, agent::TaskResult::Stopped, out);
             }
             return;
@@ -350,8 +261,8 @@
         }
         halt.posted = Some(now);
         for (task, key) in self.tasks.iter().zip(self.keys()) {
-            if matches!(task, Task::Beginning | Task::Running { .. }) {
-                out.push(Output::Stop { task: key });
+            if task.is_open() {
+                out.push(step::Output::Stop { task: key });
             }
         }
     }
@@ -366,8 +277,8 @@
         }
         let detail = "the backend server did not confirm the stop before its lease ended";
         for task in &mut self.tasks {
-            if matches!(task, Task::Beginning | Task::Running { .. }) {
-                *task = Task::Ended(TaskEnd::Gone(detail.to_owned()));
+            if task.is_open() {
+                *task = task::Stage::Ended(task::TaskEnd::Gone(detail.to_owned()));
             }
         }
         self.settle(now, out);
@@ -375,7 +286,7 @@
 
     /// Goes on once every task has ended.
     fn settle(&mut self, now: time::Tick, out: &mut Out) {
-        let open = |task: &Task| matches!(task, Task::Beginning | Task::Running { .. });
+        let open = |task: &task::Stage| task.is_open();
         if !self.active() || self.tasks.iter().any(open) {
             return;
         }
@@ -384,8 +295,8 @@
             self.end(now, result, out);
             return;
         };
-        self.phase = Phase::Fetching;
-        out.push(Output::Fetch {
+        self.phase = task::Phase::Fetching;
+        out.push(step::Output::Fetch {
             task: self.key(0),
             meta: meta.clone(),
             limit: self.prepare.answer_limit,
@@ -395,26 +306,27 @@
 
     /// How the tasks ended, taken together.
     fn result(&self) -> agent::TaskResult {
-        let refused = |task: &Task| matches!(task, Task::Refused(_));
+        let refused = |task: &task::Stage| matches!(task, task::Stage::Refused(_));
         if self.tasks.iter().all(refused) && self.doubt.is_none() {
             return agent::TaskResult::NotStarted;
         }
-        if self.tasks.iter().all(|task| matches!(task, Task::Ended(TaskEnd::Done(_)))) {
+        if self.tasks.iter().all(|task| matches!(task, task::Stage::Ended(task::TaskEnd::Done(_))))
+        {
             return self.well();
         }
         if let Some(detail) = self.doubt.clone().or_else(|| self.find_gone()) {
             return agent::TaskResult::Unknown(detail);
         }
         match self.halt.as_ref().map(|halt| &halt.cause) {
-            Some(Cause::Ordered) => agent::TaskResult::Stopped,
-            Some(Cause::Lost(detail)) => agent::TaskResult::Unknown(detail.clone()),
-            Some(Cause::Broken) | None => agent::TaskResult::Failed(self.find_failure()),
+            Some(task::Cause::Ordered) => agent::TaskResult::Stopped,
+            Some(task::Cause::Lost(detail)) => agent::TaskResult::Unknown(detail.clone()),
+            Some(task::Cause::Broken) | None => agent::TaskResult::Failed(self.find_failure()),
         }
     }
 
     fn well(&self) -> agent::TaskResult {
         match self.tasks.first() {
-            Some(Task::Ended(TaskEnd::Done(meta))) if self.prepare.first == 0 => {
+            Some(task::Stage::Ended(task::TaskEnd::Done(meta))) if self.prepare.first == 0 => {
                 agent::TaskResult::Done(Some(meta.clone()))
             }
             _ => agent::TaskResult::Done(None),
@@ -423,60 +335,53 @@
 
     fn find_gone(&self) -> Option<String> {
         self.tasks.iter().find_map(|task| match task {
-            Task::Ended(TaskEnd::Gone(detail)) => Some(detail.clone()),
+            task::Stage::Ended(task::TaskEnd::Gone(detail)) => Some(detail.clone()),
             _ => None,
         })
     }
 
     fn find_failure(&self) -> String {
         let found = self.tasks.iter().find_map(|task| match task {
-            Task::Ended(TaskEnd::Failed(detail)) | Task::Refused(detail) => Some(detail.clone()),
+            task::Stage::Ended(task::TaskEnd::Failed(detail)) | task::Stage::Refused(detail) => {
+                Some(detail.clone())
+            }
             _ => None,
         });
         found.unwrap_or_else(|| "the backend server stopped the task".to_owned())
     }
 
     /// Takes the outcome of fetching the answer.
-    pub fn fetched(&mut self, now: time::Tick, fetched: Fetched, out: &mut Out) {
-        if self.phase != Phase::Fetching {
+    pub fn fetched(&mut self, now: time::Tick, fetched: task::Fetched, out: &mut Out) {
+        if self.phase != task::Phase::Fetching {
             return;
         }
         let result = match fetched {
-            Fetched::Whole(meta) => agent::TaskResult::Done(Some(meta)),
-            Fetched::Bad(detail) => agent::TaskResult::Failed(detail),
-            Fetched::Lost(detail) => agent::TaskResult::Unknown(detail),
+            task::Fetched::Whole(meta) => agent::TaskResult::Done(Some(meta)),
+            task::Fetched::Bad(detail) => agent::TaskResult::Failed(detail),
+            task::Fetched::Lost(detail) => agent::TaskResult::Unknown(detail),
         };
         self.end(now, result, out);
     }
 
     fn end(&mut self, now: time::Tick, result: agent::TaskResult, out: &mut Out) {
-        self.phase = Phase::Ended(result);
+        self.phase = task::Phase::Ended(result);
         self.report(now, out);
     }
 
     /// Tells how it ended, the answer's bytes first.
     pub fn report(&mut self, now: time::Tick, out: &mut Out) {
-        let Phase::Ended(result) = &self.phase else { return };
+        let task::Phase::Ended(result) = &self.phase else { return };
         self.told = now;
         self.reports += 1;
         let attempt = self.attempt;
         out.push(match result {
-            agent::TaskResult::Done(Some(meta)) => Output::Deliver { attempt, meta: meta.clone() },
-            result => {
-                Output::Send(agent::Up::Ended { attempt: attempt.into(), result: result.clone() })
+            agent::TaskResult::Done(Some(meta)) => {
+                step::Output::Deliver { attempt, meta: meta.clone() }
             }
+            result => step::Output::Send(agent::Up::Ended {
+                attempt: attempt.into(),
+                result: result.clone(),
+            }),
         });
     }
 }
-
-macros::plain! {
-    /// What became of fetching an answer.
-    pub enum Fetched {
-        /// It is here, its length and checksum match.
-        Whole(common::AnswerMeta),
-        /// The backend server does not give the answer that it promised.
-        Bad(String),
-        /// The backend server can't be reached, or has lost the answer.
-        Lost(String),
-    }
-}
--- a/src/agent/state/mod.rs
+++ b/src/agent/state/mod.rs
@@ -8,7 +8,6 @@
 //! result says.
 
 use std::collections::BTreeMap;
-use std::rc;
 
 use crate::agent::contract;
 use crate::core::ids;
@@ -21,15 +20,16 @@
 
 mod gangs;
 mod member;
+mod step;
+mod task;
 mod tombs;
 
-pub use member::Begun;
-pub use member::Fetched;
-pub use member::Seen;
-pub use member::TaskEnd;
-
-use member::Member;
-use tombs::Tombs;
+pub use step::Input;
+pub use step::Output;
+pub use task::Begun;
+pub use task::Fetched;
+pub use task::Seen;
+pub use task::TaskEnd;
 
 /// How long the backend server may be silent before it is taken as gone.
 pub const SILENCE: time::Millis = time::Millis::from_secs(3);
@@ -44,107 +44,6 @@
 const SWEEP_PAUSE: time::Millis = time::Millis::from_secs(1);
 
 macros::plain! {
-    /// What the state is told.
-    pub enum Input {
-        /// A leader has welcomed this agent on a new session.
-        Connected,
-        /// The session has ended.
-        Disconnected,
-        /// A message from the leader.
-        Down(agent::Down),
-        /// The backend server has announced itself, or repeats it.
-        Announced(contract::Announcement),
-        /// Tasks that nothing here knows were stopped and deleted at the backend server, or not.
-        Swept(bool),
-        /// What became of the order to start a task.
-        Begun(contract::TaskKey, Begun),
-        /// What the backend server says of a task.
-        Watched(contract::TaskKey, Seen),
-        /// What became of fetching an answer.
-        Fetched(ids::AttemptKey, Fetched),
-        /// The answer's bytes were sent to the leader.
-        Delivered(ids::AttemptKey),
-        /// The agent is told to stop: it wants no new work.
-        Leave,
-        /// The agent's time is up: what still runs is stopped, after this grace.
-        StopAll(time::Millis),
-        /// Time has passed.
-        Tick,
-    }
-
-    /// What is to be done.
-    pub enum Output {
-        /// Send a message to the leader, if there is a session.
-        Send(agent::Up),
-        /// Order the start of a task, but not at or after `until`. Answered by [`Input::Begun`].
-        Begin {
-            /// The task.
-            task: contract::TaskKey,
-            /// What it runs.
-            prepare: rc::Rc<agent::Prepare>,
-            /// When the lease ends.
-            until: time::Tick,
-        },
-        /// Ask after a task until it ends, for a bounded time. Answered by [`Input::Watched`].
-        Watch {
-            /// The task.
-            task: contract::TaskKey,
-            /// How long to wait first.
-            pause: time::Millis,
-        },
-        /// Stop a task at once.
-        Stop {
-            /// The task.
-            task: contract::TaskKey,
-        },
-        /// Have a task checkpoint and stop.
-        Checkpoint {
-            /// The task.
-            task: contract::TaskKey,
-            /// How long it may take.
-            grace: time::Millis,
-        },
-        /// Hold a task to a share of its speed.
-        Throttle {
-            /// The task.
-            task: contract::TaskKey,
-            /// The share in percent.
-            percent: u32,
-        },
-        /// Fetch the answer of a task and keep it. Answered by [`Input::Fetched`].
-        Fetch {
-            /// The task.
-            task: contract::TaskKey,
-            /// Its length and checksum, as the backend server promised them.
-            meta: common::AnswerMeta,
-            /// The longest answer permitted, in bytes.
-            limit: u64,
-        },
-        /// Send the kept answer in chunks, then the attempt's end. Answered by
-        /// [`Input::Delivered`] if the session lasts.
-        Deliver {
-            /// The attempt.
-            attempt: ids::AttemptKey,
-            /// The answer's length and checksum.
-            meta: common::AnswerMeta,
-        },
-        /// Drop the kept answer and delete the tasks at the backend server.
-        Discard {
-            /// The attempt.
-            attempt: ids::AttemptKey,
-            /// The tasks.
-            tasks: Vec<contract::TaskKey>,
-        },
-        /// Stop and delete every task at the backend server but these. Answered by
-        /// [`Input::Swept`].
-        Sweep {
-            /// The tasks that are known.
-            keep: Vec<contract::TaskKey>,
-        },
-        /// Log an event.
-        Log(event::Event, String),
-    }
-
     /// Whether the backend server is there.
     enum Presence {
         /// It has not announced itself, or has fallen silent.
@@ -189,11 +88,11 @@
     awaiting: Option<time::Tick>,
     /// When the last heartbeat was sent.
     beaten: time::Tick,
-    members: BTreeMap<ids::AttemptKey, Member>,
-    tombs: Tombs,
+    members: BTreeMap<ids::AttemptKey, member::Member>,
+    tombs: tombs::Tombs,
 }
 
-type Out = Vec<Output>;
+type Out = Vec<step::Output>;
 
 impl Default for State {
     fn default() -> Self {
@@ -219,26 +118,26 @@
             awaiting: None,
             beaten: time::Tick(0),
             members: BTreeMap::new(),
-            tombs: Tombs::default(),
+            tombs: tombs::Tombs::default(),
         }
     }
 
     /// Takes one input and appends what is to be done.
-    pub fn step(&mut self, now: time::Tick, input: Input, out: &mut Out) {
+    pub fn step(&mut self, now: time::Tick, input: step::Input, out: &mut Out) {
         self.check_lease(now, out);
         match input {
-            Input::Connected => self.connected(now, out),
-            Input::Disconnected => self.disconnected(),
-            Input::Down(down) => self.down(now, down, out),
-            Input::Announced(announcement) => self.announced(now, &announcement, out),
-            Input::Swept(ok) => self.swept(now, ok, out),
-            Input::Begun(task, begun) => self.begun(now, task, begun, out),
-            Input::Watched(task, seen) => self.watched(now, task, seen, out),
-            Input::Fetched(attempt, fetched) => self.fetched(now, attempt, fetched, out),
-            Input::Delivered(attempt) => self.delivered(now, attempt),
-            Input::Leave => self.stopping = true,
-            Input::StopAll(grace) => self.stop_all(now, grace, out),
-            Input::Tick => self.tick(now, out),
+            step::Input::Connected => self.connected(now, out),
+            step::Input::Disconnected => self.disconnected(),
+            step::Input::Down(down) => self.down(now, down, out),
+            step::Input::Announced(announcement) => self.announced(now, &announcement, out),
+            step::Input::Swept(ok) => self.swept(now, ok, out),
+            step::Input::Begun(task, begun) => self.begun(now, task, begun, out),
+            step::Input::Watched(task, seen) => self.watched(now, task, seen, out),
+            step::Input::Fetched(attempt, fetched) => self.fetched(now, attempt, fetched, out),
+            step::Input::Delivered(attempt) => self.delivered(now, attempt),
+            step::Input::Leave => self.stopping = true,
+            step::Input::StopAll(grace) => self.stop_all(now, grace, out),
+            step::Input::Tick => self.tick(now, out),
         }
         self.check_leaving(now, out);
         self.check_announce(now, out);
@@ -313,7 +212,7 @@
             }
             agent::Down::Fenced { epoch } => {
                 if self.holder.fence(ids::Epoch(epoch)) {
-                    out.push(Output::Log(event::agent::FENCED, format!("epoch={epoch}")));
+                    out.push(step::Output::Log(event::agent::FENCED, format!("epoch={epoch}")));
                     self.announce = true;
                     self.check_lease(now, out);
                 }
@@ -339,7 +238,7 @@
         self.awaiting = None;
         if self.holder.register(epoch) {
             self.first_epoch.get_or_insert(epoch);
-            out.push(Output::Log(event::agent::REGISTERED, format!("epoch={epoch}")));
+            out.push(step::Output::Log(event::agent::REGISTERED, format!("epoch={epoch}")));
             self.check_lease(now, out);
         }
         self.beat(now, out);
@@ -351,7 +250,7 @@
         if self.leased && !valid {
             self.leased = false;
             let epoch = self.holder.epoch();
-            out.push(Output::Log(event::agent::LEASE_LOST, format!("epoch={epoch}")));
+            out.push(step::Output::Log(event::agent::LEASE_LOST, format!("epoch={epoch}")));
             self.lose_all(now, "the lease ended", out);
         }
     }
@@ -365,7 +264,7 @@
                 self.leaving = Some(now);
                 if self.backend.is_some() {
                     let details = format!("agent={} backend={said}", self.stopping);
-                    out.push(Output::Log(event::agent::LEAVING, details));
+                    out.push(step::Output::Log(event::agent::LEAVING, details));
                 }
             }
             (false, Some(_)) => self.leaving = None,
@@ -382,7 +281,7 @@
             return;
         }
         let swept = matches!(self.presence, Presence::Present | Presence::Absent);
-        let clean = self.holder.valid(now) || !self.members.values().any(Member::active);
+        let clean = self.holder.valid(now) || !self.members.values().any(member::Member::active);
         let Some(backend) = &self.backend else { return };
         if !swept || !clean {
             return;
@@ -390,7 +289,7 @@
         self.announce = false;
         self.awaiting = Some(now);
         let leaving = self.leaving.is_some();
-        out.push(Output::Send(agent::Up::Announce { spec: backend.spec.clone(), leaving }));
+        out.push(step::Output::Send(agent::Up::Announce { spec: backend.spec.clone(), leaving }));
     }
 
     fn announced(&mut self, now: time::Tick, announcement: &contract::Announcement, out: &mut Out) {
@@ -407,8 +306,8 @@
 
     fn sweep(&mut self, out: &mut Out) {
         self.presence = Presence::Sweeping;
-        let keep = self.members.values().flat_map(Member::keys).collect();
-        out.push(Output::Sweep { keep });
+        let keep = self.members.values().flat_map(member::Member::keys).collect();
+        out.push(step::Output::Sweep { keep });
     }
 
     fn swept(&mut self, now: time::Tick, ok: bool, out: &mut Out) {
@@ -417,7 +316,7 @@
         }
         let event = if ok { event::agent::BACKEND_PRESENT } else { event::agent::SWEEP_FAILED };
         let worker = self.worker().unwrap_or_default();
-        out.push(Output::Log(event, format!("worker={worker}")));
+        out.push(step::Output::Log(event, format!("worker={worker}")));
         self.presence = if ok { Presence::Present } else { Presence::Unswept(now + SWEEP_PAUSE) };
     }
 
@@ -441,7 +340,7 @@
         }
         self.presence = Presence::Absent;
         let worker = backend.spec.name.clone();
-        out.push(Output::Log(event::agent::BACKEND_GONE, format!("worker={worker}")));
+        out.push(step::Output::Log(event::agent::BACKEND_GONE, format!("worker={worker}")));
         self.lose_all(now, "the backend server fell silent", out);
     }
 
@@ -454,7 +353,7 @@
         let sequence = self.holder.heartbeat(now);
         let attempts = self.members.keys().map(|attempt| (*attempt).into()).collect();
         let usage = self.backend.as_ref().map(|backend| backend.usage).unwrap_or_default();
-        out.push(Output::Send(agent::Up::Heartbeat {
+        out.push(step::Output::Send(agent::Up::Heartbeat {
             sequence,
             epoch: self.holder.epoch().0,
             revision: self.revision.0,
