--- a/src/agent/backend.rs
+++ b/src/agent/backend.rs
@@ -116,15 +116,15 @@
         clock: clock::Clock,
         task: contract::TaskKey,
         prepare: &agent::Prepare,
-        until: core_time::Tick,
+        lease: state::Lease,
     ) -> state::Begun {
         let hop = trace::Hop::start("agent.start", trace_of(prepare));
         let last = clock.tick() + BEGIN_LIMIT;
         loop {
-            if clock.tick() >= until {
+            if clock.tick() >= lease.until {
                 return state::Begun::Refused("the lease ended before the start".to_owned());
             }
-            match hop.run(self.try_begin(task, prepare, hop.context())).await {
+            match hop.run(self.try_begin(task, prepare, lease.fence, hop.context())).await {
                 Tried::Settled(begun) => return begun,
                 Tried::Again(detail) if clock.tick() >= last => {
                     return state::Begun::Refused(detail);
@@ -138,10 +138,11 @@
         &self,
         task: contract::TaskKey,
         prepare: &agent::Prepare,
+        fence: u64,
         context: trace::Context,
     ) -> Tried {
         let request = self.http.put(self.task_url(task, ""));
-        let request = match request.query(&contract::Start::from(prepare)) {
+        let request = match request.query(&contract::Start::new(prepare, fence)) {
             Ok(request) => request,
             Err(error) => return Tried::Settled(state::Begun::Refused(error.to_string())),
         };
@@ -190,6 +191,15 @@
         }
     }
 
+    /// Stops a task. Not knowing the task means that it will not start any more.
+    pub async fn stop(&self, task: contract::TaskKey) -> state::Seen {
+        let sent = self.http.post(self.task_url(task, "/stop")).send();
+        match self.read(sent, CALL_TIMEOUT, MAX_STATUS).await {
+            Ok(reply) => reply.seen(task),
+            Err(failure) => state::Seen::Unreachable(failure.into_detail()),
+        }
+    }
+
     /// Orders something about a task. Whether it arrived shows in its status.
     pub async fn order(&self, task: contract::TaskKey, order: &str) {
         let sent = self.http.post(self.task_url(task, order)).send();
@@ -217,7 +227,7 @@
             if keep.contains(&task) {
                 continue;
             }
-            self.order(task, "/stop").await;
+            self.stop(task).await;
             if !matches!(self.watch(task).await, state::Seen::Ended(_)) {
                 return false;
             }
@@ -292,9 +302,9 @@
         let detail = format!("the backend server refused the start: {}", refused.detail);
         match refused.error {
             contract::Refusal::NoLease => Tried::Again(detail),
-            contract::Refusal::StaleEpoch
-            | contract::Refusal::Stopped
-            | contract::Refusal::Refused => Tried::Settled(state::Begun::Refused(detail)),
+            contract::Refusal::Stopped | contract::Refusal::Refused => {
+                Tried::Settled(state::Begun::Refused(detail))
+            }
         }
     }
 }
--- a/src/agent/contract.rs
+++ b/src/agent/contract.rs
@@ -128,8 +128,8 @@
     /// was sent.
     #[derive(Copy, serde::Deserialize, serde::Serialize)]
     pub struct Lease {
-        /// The epoch; 0 if there is none. A start of a lower epoch is to be refused.
-        pub epoch: u64,
+        /// The fencing token. Only a start that carries the token of the latest answer may happen.
+        pub fence: u64,
         /// How long tasks may run without another answer, in milliseconds; 0 for no renewal.
         pub lease_ms: u64,
         /// How soon the announcement is to be repeated, in milliseconds.
@@ -151,8 +151,8 @@
         pub accelerators: u32,
         /// The longest answer, in bytes.
         pub answer_limit: u64,
-        /// The epoch of the lease under which the task runs.
-        pub epoch: u64,
+        /// The fencing token of the lease under which the task runs.
+        pub fence: u64,
     }
 
     /// Where a task stands, as the backend server reports it.
@@ -201,10 +201,9 @@
     #[derive(Copy, serde::Deserialize, serde::Serialize)]
     #[serde(rename_all = "kebab-case")]
     pub enum Refusal {
-        /// The backend server holds no lease at the moment. The start may be sent again.
+        /// The backend server holds no lease at the moment, or one of another fencing token. The
+        /// start may be sent again.
         NoLease,
-        /// The epoch is lower than one seen.
-        StaleEpoch,
         /// The task was stopped before its start came.
         Stopped,
         /// The backend server does not take the task.
@@ -287,8 +286,9 @@
     }
 }
 
-impl From<&agent::Prepare> for Start {
-    fn from(prepare: &agent::Prepare) -> Self {
+impl Start {
+    /// The start of a prepared task under this fencing token.
+    pub fn new(prepare: &agent::Prepare, fence: u64) -> Self {
         Self {
             service: prepare.service.clone(),
             kind: prepare.kind.clone(),
@@ -296,7 +296,7 @@
             gang: prepare.gang,
             accelerators: prepare.accelerators,
             answer_limit: prepare.answer_limit,
-            epoch: prepare.epoch,
+            fence,
         }
     }
 }
--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -92,15 +92,16 @@
 }
 
 impl Driver {
-    /// A driver that shows itself in `view`.
+    /// A driver that shows itself in `view` and counts its fencing tokens from `fence`.
     pub fn new(
+        fence: u64,
         drain: core_time::Millis,
         view: rc::Rc<cell::RefCell<View>>,
         revision: rc::Rc<cell::Cell<u64>>,
     ) -> Self {
         Self {
             clock: clock::Clock::start(),
-            state: state::State::new(),
+            state: state::State::new(fence),
             client: None,
             session: None,
             sessions: 0,
@@ -295,8 +296,8 @@
     let answers = answers.clone();
     Box::pin(async move {
         match output {
-            state::Output::Begin { task, prepare, until } => {
-                let begun = client.begin(clock, task, &prepare, until).await;
+            state::Output::Begin { task, prepare, lease } => {
+                let begun = client.begin(clock, task, &prepare, lease).await;
                 Some(state::Input::Begun(task, begun))
             }
             state::Output::Watch { task, pause } => {
@@ -304,8 +305,7 @@
                 Some(state::Input::Watched(task, client.watch(task).await))
             }
             state::Output::Stop { task } => {
-                client.order(task, "/stop").await;
-                None
+                Some(state::Input::Stopped(task, client.stop(task).await))
             }
             state::Output::Checkpoint { task, grace } => {
                 client.order(task, &format!("/checkpoint?grace={grace}")).await;
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -83,7 +83,7 @@
             stop: hushed,
         };
         let drain = core_time::Millis::from_secs(settings.drain_secs);
-        let driver = driver::Driver::new(drain, view, revision);
+        let driver = driver::Driver::new(incarnation, drain, view, revision);
         Ok(Self {
             server,
             calls,
--- a/src/agent/state/gangs.rs
+++ b/src/agent/state/gangs.rs
@@ -111,15 +111,16 @@
         out: &mut Out,
     ) {
         let late = self.leaving.is_some_and(|since| now - since >= LEAVING_GRACE);
-        let until = self.holder.expires().filter(|_| self.holder.valid(now));
+        let expires = self.holder.expires().filter(|_| self.holder.valid(now));
+        let lease = expires.map(|until| step::Lease { until, fence: self.fence });
         let Some(member) = self.members.get_mut(&attempt) else {
             self.start_unknown(attempt, epoch, out);
             return;
         };
         match member.phase() {
-            task::Phase::Prepared => match until {
-                Some(until) if !late && epoch.0 == member.prepare().epoch => {
-                    member.begin(until, out);
+            task::Phase::Prepared => match lease {
+                Some(lease) if !late && epoch.0 == member.prepare().epoch => {
+                    member.begin(lease, out);
                 }
                 _ => member.halt(now, task::Cause::Ordered, time::Millis(0), out),
             },
@@ -211,6 +212,18 @@
         }
     }
 
+    pub(super) fn stopped(
+        &mut self,
+        now: time::Tick,
+        task: contract::TaskKey,
+        seen: task::Seen,
+        out: &mut Out,
+    ) {
+        if let Some(member) = self.members.get_mut(&task.attempt) {
+            member.stopped(now, task.index, seen, out);
+        }
+    }
+
     pub(super) fn fetched(
         &mut self,
         now: time::Tick,
@@ -231,6 +244,7 @@
 
     /// Stops everything at once: nothing may run here any more.
     pub(super) fn lose_all(&mut self, now: time::Tick, detail: &str, out: &mut Out) {
+        self.raise_fence();
         for member in self.members.values_mut() {
             member.halt(now, task::Cause::Lost(detail.to_owned()), time::Millis(0), out);
         }
@@ -250,7 +264,13 @@
         }
     }
 
+    /// Makes the backend server refuse every start that is still on its way.
+    fn raise_fence(&mut self) {
+        self.fence = self.fence.wrapping_add(1);
+    }
+
     pub(super) fn tick_members(&mut self, now: time::Tick, out: &mut Out) {
+        let mut abandoned = false;
         for member in self.members.values_mut() {
             let quiet = now - member.told();
             match member.phase() {
@@ -260,7 +280,7 @@
                 task::Phase::Prepared => {}
                 task::Phase::Active | task::Phase::Fetching => {
                     member.press(now, out);
-                    member.abandon(now, self.granted, out);
+                    abandoned |= member.abandon(now, self.granted, out);
                 }
                 task::Phase::Ended(_) if self.connected && now >= member.due() => {
                     member.report(now, out);
@@ -268,6 +288,9 @@
                 task::Phase::Ended(_) => {}
             }
         }
+        if abandoned {
+            self.raise_fence();
+        }
     }
 }
 
--- a/src/agent/state/member.rs
+++ b/src/agent/state/member.rs
@@ -108,12 +108,12 @@
         range.map(move |index| contract::TaskKey { attempt, index })
     }
 
-    /// Orders the start of all tasks, none of them later than `until`.
-    pub fn begin(&mut self, until: time::Tick, out: &mut Out) {
+    /// Orders the start of all tasks under this lease.
+    pub fn begin(&mut self, lease: step::Lease, out: &mut Out) {
         self.phase = task::Phase::Active;
         for task in self.keys() {
             self.tasks.push(task::Stage::Beginning);
-            out.push(step::Output::Begin { task, prepare: self.prepare.clone(), until });
+            out.push(step::Output::Begin { task, prepare: self.prepare.clone(), lease });
         }
     }
 
@@ -147,13 +147,13 @@
             return;
         }
         match begun {
-            task::Begun::Accepted => *task = task::Stage::Running { silent: None },
+            task::Begun::Accepted => *task = task::Stage::Running { silent: None, sure: true },
             task::Begun::Refused(detail) => {
                 *task = task::Stage::Refused(detail);
                 self.halt(now, task::Cause::Broken, time::Millis(0), out);
             }
             task::Begun::Unknown(detail) => {
-                *task = task::Stage::Running { silent: None };
+                *task = task::Stage::Running { silent: None, sure: false };
                 self.doubt(detail);
                 self.halt(now, task::Cause::Broken, time::Millis(0), out);
             }
@@ -171,7 +171,7 @@
     pub fn watched(&mut self, now: time::Tick, index: u32, seen: task::Seen, out: &mut Out) {
         let key = self.key(index);
         let Some(task) = self.task(index) else { return };
-        let task::Stage::Running { silent } = task else { return };
+        let task::Stage::Running { silent, sure } = task else { return };
         match seen {
             task::Seen::Running => {
                 *silent = None;
@@ -185,17 +185,34 @@
                     self.halt(now, task::Cause::Broken, time::Millis(0), out);
                 }
             }
-            task::Seen::Ended(end) => {
-                let cause = end.cause();
-                *task = task::Stage::Ended(end);
-                if let Some(cause) = cause {
-                    self.halt(now, cause, time::Millis(0), out);
-                }
-                self.settle(now, out);
+            task::Seen::Ended(task::TaskEnd::Gone(_)) if !*sure => {
+                out.push(step::Output::Watch { task: key, pause: UNREACHABLE_PAUSE });
             }
+            task::Seen::Ended(end) => self.task_ended(now, index, end, out),
+        }
+    }
+
+    /// Takes the backend server's answer to the order to stop a task.
+    pub fn stopped(&mut self, now: time::Tick, index: u32, seen: task::Seen, out: &mut Out) {
+        let running = self.task(index).is_some_and(|task| task.is_running());
+        if let task::Seen::Ended(end) = seen
+            && running
+        {
+            self.task_ended(now, index, end, out);
         }
     }
 
+    fn task_ended(&mut self, now: time::Tick, index: u32, end: task::TaskEnd, out: &mut Out) {
+        let cause = end.cause();
+        if let Some(task) = self.task(index) {
+            *task = task::Stage::Ended(end);
+        }
+        if let Some(cause) = cause {
+            self.halt(now, cause, time::Millis(0), out);
+        }
+        self.settle(now, out);
+    }
+
     fn doubt(&mut self, detail: String) {
         self.doubt.get_or_insert(detail);
     }
@@ -268,12 +285,12 @@
     }
 
     /// Takes tasks whose stop nobody confirmed as gone, once the backend server's own lease, which
-    /// it holds until `granted` at the latest, has made it stop them.
-    pub fn abandon(&mut self, now: time::Tick, granted: time::Tick, out: &mut Out) {
-        let Some(halt) = &self.halt else { return };
+    /// it holds until `granted` at the latest, has made it stop them. Returns whether it did.
+    pub fn abandon(&mut self, now: time::Tick, granted: time::Tick, out: &mut Out) -> bool {
+        let Some(halt) = &self.halt else { return false };
         let over = now >= granted + BACKEND_MARGIN && now >= halt.since + BACKEND_MARGIN;
         if !over || !self.active() {
-            return;
+            return false;
         }
         let detail = "the backend server did not confirm the stop before its lease ended";
         for task in &mut self.tasks {
@@ -282,6 +299,7 @@
             }
         }
         self.settle(now, out);
+        true
     }
 
     /// Goes on once every task has ended.
--- a/src/agent/state/mod.rs
+++ b/src/agent/state/mod.rs
@@ -25,6 +25,7 @@
 mod tombs;
 
 pub use step::Input;
+pub use step::Lease;
 pub use step::Output;
 pub use task::Begun;
 pub use task::Fetched;
@@ -68,6 +69,8 @@
 /// The state of an agent.
 pub struct State {
     holder: lease::Holder,
+    /// The fencing token for the backend server.
+    fence: u64,
     /// The first epoch given to this run of the agent; an earlier run has held those below.
     first_epoch: Option<ids::Epoch>,
     /// Whether the lease was valid when last looked at.
@@ -94,17 +97,13 @@
 
 type Out = Vec<step::Output>;
 
-impl Default for State {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl State {
-    /// Knows no backend server, holds no lease and no tasks.
-    pub fn new() -> Self {
+    /// Knows no backend server, holds no lease and no tasks. The fencing tokens are counted from
+    /// `fence`, which is to be random, so that no other run of the agent has used them.
+    pub fn new(fence: u64) -> Self {
         Self {
             holder: lease::Holder::new(),
+            fence,
             first_epoch: None,
             leased: false,
             connected: false,
@@ -133,6 +132,7 @@
             step::Input::Swept(ok) => self.swept(now, ok, out),
             step::Input::Begun(task, begun) => self.begun(now, task, begun, out),
             step::Input::Watched(task, seen) => self.watched(now, task, seen, out),
+            step::Input::Stopped(task, seen) => self.stopped(now, task, seen, out),
             step::Input::Fetched(attempt, fetched) => self.fetched(now, attempt, fetched, out),
             step::Input::Delivered(attempt) => self.delivered(now, attempt),
             step::Input::Leave => self.stopping = true,
@@ -187,7 +187,7 @@
             self.granted = self.granted.max(expires);
         }
         let lease = if valid { self.holder.remaining(now) } else { time::Millis(0) };
-        contract::Lease { epoch: self.holder.epoch().0, lease_ms: lease.0, repeat_ms: REPEAT.0 }
+        contract::Lease { fence: self.fence, lease_ms: lease.0, repeat_ms: REPEAT.0 }
     }
 
     fn connected(&mut self, now: time::Tick, out: &mut Out) {
--- a/src/agent/state/step.rs
+++ b/src/agent/state/step.rs
@@ -28,6 +28,8 @@
         Begun(contract::TaskKey, task::Begun),
         /// What the backend server says of a task.
         Watched(contract::TaskKey, task::Seen),
+        /// The backend server's answer to the order to stop a task.
+        Stopped(contract::TaskKey, task::Seen),
         /// What became of fetching an answer.
         Fetched(ids::AttemptKey, task::Fetched),
         /// The answer's bytes were sent to the leader.
@@ -44,14 +46,14 @@
     pub enum Output {
         /// Send a message to the leader, if there is a session.
         Send(agent::Up),
-        /// Order the start of a task, but not at or after `until`. Answered by [`Input::Begun`].
+        /// Order the start of a task, but only under this lease. Answered by [`Input::Begun`].
         Begin {
             /// The task.
             task: contract::TaskKey,
             /// What it runs.
             prepare: rc::Rc<agent::Prepare>,
-            /// When the lease ends.
-            until: time::Tick,
+            /// The lease.
+            lease: Lease,
         },
         /// Ask after a task until it ends, for a bounded time. Answered by [`Input::Watched`].
         Watch {
@@ -60,7 +62,7 @@
             /// How long to wait first.
             pause: time::Millis,
         },
-        /// Stop a task at once.
+        /// Stop a task at once. Answered by [`Input::Stopped`].
         Stop {
             /// The task.
             task: contract::TaskKey,
@@ -113,3 +115,13 @@
         Log(event::Event, String),
     }
 }
+
+macros::small! {
+    /// The lease under which a task is started.
+    pub struct Lease {
+        /// When it ends.
+        pub until: time::Tick,
+        /// The fencing token that the backend server was given with it.
+        pub fence: u64,
+    }
+}
--- a/src/agent/state/task.rs
+++ b/src/agent/state/task.rs
@@ -56,6 +56,9 @@
         Running {
             /// Since when it has been out of reach.
             silent: Option<time::Tick>,
+            /// Whether the backend server has confirmed the start. If not, the start may yet
+            /// arrive, until the backend server has confirmed the stop.
+            sure: bool,
         },
         /// It was not started, and never will be.
         Refused(String),
--- a/src/standin/record.rs
+++ b/src/standin/record.rs
@@ -20,8 +20,6 @@
         pub gang: u32,
         /// Accelerators it held.
         pub accelerators: u32,
-        /// The epoch under which it was started.
-        pub epoch: u64,
         /// When it started, in milliseconds of civil time.
         pub started: u64,
         /// When it ended; none while it runs.
--- a/src/standin/tasks.rs
+++ b/src/standin/tasks.rs
@@ -55,7 +55,7 @@
     tasks: BTreeMap<contract::TaskKey, Task>,
     /// Tasks that were stopped before their start came.
     tombs: BTreeSet<contract::TaskKey>,
-    epoch: u64,
+    fence: u64,
     lease: time::Instant,
     starts: u32,
     runs: Vec<record::Run>,
@@ -69,7 +69,7 @@
             options,
             tasks: BTreeMap::new(),
             tombs: BTreeSet::new(),
-            epoch: 0,
+            fence: 0,
             lease: time::Instant::now(),
             starts: 0,
             runs: Vec::new(),
@@ -91,7 +91,7 @@
 
     /// Takes the answer to an announcement that was sent at `sent`.
     pub fn renew(&mut self, sent: time::Instant, lease: contract::Lease) {
-        self.epoch = self.epoch.max(lease.epoch);
+        self.fence = lease.fence;
         self.lease = self.lease.max(sent + time::Duration::from_millis(lease.lease_ms));
     }
 
@@ -123,7 +123,6 @@
             key: start.key.clone(),
             gang: start.gang,
             accelerators: start.accelerators,
-            epoch: start.epoch,
             started: clock::wall().0,
             ended: None,
             end: None,
@@ -156,11 +155,8 @@
         if self.switches.refuses {
             return refuse(contract::Refusal::Refused, "told to refuse");
         }
-        if start.epoch < self.epoch {
-            return refuse(contract::Refusal::StaleEpoch, "the epoch is over");
-        }
-        if now >= self.lease {
-            return refuse(contract::Refusal::NoLease, "no lease at the moment");
+        if now >= self.lease || start.fence != self.fence {
+            return refuse(contract::Refusal::NoLease, "no such lease at the moment");
         }
         let (usage, limits) = (self.usage(), &self.options.announcement);
         let accelerators = usage.accelerators + start.accelerators;
--- a/tests/testsuite/agent.rs
+++ b/tests/testsuite/agent.rs
@@ -13,6 +13,7 @@
 use sha2::Digest as _;
 
 use crate::support;
+use crate::support::agents;
 use crate::support::control;
 
 pub struct Bed {
@@ -26,20 +27,7 @@
 }
 
 fn prepare(number: u32, tasks: u32) -> agent::Prepare {
-    agent::Prepare {
-        attempt: attempt(number),
-        epoch: 1,
-        service: "booking".to_owned(),
-        kind: "round-rebuild".to_owned(),
-        key: "evening".to_owned(),
-        first: 0,
-        tasks,
-        gang: tasks,
-        accelerators: 1,
-        answer_limit: job::MAX_ANSWER,
-        payload: b"joondalup".to_vec(),
-        trace: common::Trace::default(),
-    }
+    agents::prepare(attempt(number), tasks)
 }
 
 async fn start_agent(control: net::SocketAddr) -> Agent {
--- /dev/null
+++ b/tests/testsuite/support/agents.rs
@@ -0,0 +1,35 @@
+//! What the tests of the agent say to it.
+
+use hemlockcleat::agent::contract;
+use hemlockcleat::core::ledger::job;
+use hemlockcleat::standin::options;
+use hemlockcleat::wire::agent;
+use hemlockcleat::wire::common;
+
+/// Slots of the worker that [`announcement`] announces.
+pub const SLOTS: u32 = 8;
+
+/// The announcement of a worker of the common shape.
+pub fn announcement() -> contract::Announcement {
+    let agent = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    let url = "http://127.0.0.1:1".to_owned();
+    contract::Announcement { url, ..options::Options::new(agent, "w1", "r1").announcement }
+}
+
+/// A preparation of a whole gang on one worker under epoch 1.
+pub fn prepare(attempt: common::Attempt, tasks: u32) -> agent::Prepare {
+    agent::Prepare {
+        attempt,
+        epoch: 1,
+        service: "booking".to_owned(),
+        kind: "round-rebuild".to_owned(),
+        key: "evening".to_owned(),
+        first: 0,
+        tasks,
+        gang: tasks,
+        accelerators: 1,
+        answer_limit: job::MAX_ANSWER,
+        payload: b"joondalup".to_vec(),
+        trace: common::Trace::default(),
+    }
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,5 +1,6 @@
 //! Fakes and helpers that several matters use.
 
+pub mod agents;
 pub mod control;
 pub mod plans;
 
