--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -2,10 +2,14 @@
 
 pub mod agents;
 pub mod control;
+pub mod fake_control;
+pub mod http_client;
 pub mod plans;
 
 use std::future;
 
+pub mod ledger;
+
 /// Runs a test body on the runtime that the daemons use.
 pub fn run<T>(body: impl future::Future<Output = T>) -> T {
     actix_rt::System::new().block_on(body)
