Hold the agent against faulty backend servers over real sockets

Cause: the agent's rules were proved in the model only. Ruled out: sleeping in tests; each waits for what is said or recorded. Change: tables over the stand-in's switches (unanswered start, crossed, corrupt, late, long, slow, straggling, refusing, failing, dying), the agent's own life (killed, restarted, planned stop, lease withheld, two leader changes) and the announcement's contract (malformed, out of range, another worker's). The stand-in's record is compared with what the agent said. Before: one run through sockets. Conclusion: what the agent says agrees with what ran.

--- a/tests/testsuite/agent.rs
+++ b/tests/testsuite/agent.rs
@@ -1,134 +1,224 @@
-//! The agent between a fake control replica and a stand-in backend server, over real sockets.
+//! The agent between a fake control replica and a stand-in backend server, over real sockets: the
+//! life of a gang and of the agent itself.
 
-use std::net;
+use std::time;
 
-use hemlockcleat::agent::Agent;
-use hemlockcleat::core::ledger::job;
-use hemlockcleat::settings;
-use hemlockcleat::standin;
+use hemlockcleat::core::lease;
 use hemlockcleat::standin::options;
 use hemlockcleat::standin::record;
 use hemlockcleat::wire::agent;
-use hemlockcleat::wire::common;
-use sha2::Digest as _;
+use rstest::rstest;
 
 use crate::support;
-use crate::support::agents;
-use crate::support::control;
+use crate::support::agent_bed;
+use crate::support::agent_bed::Bed;
+use crate::support::agent_control;
+use crate::support::http_client;
 
-pub struct Bed {
-    pub control: control::Control,
-    pub agent: Agent,
-    pub standin: standin::Standin,
-}
+/// A run time that no test waits for.
+const LONG: u64 = 600_000;
 
-fn attempt(number: u32) -> common::Attempt {
-    common::Attempt { job: 7, number }
+#[test]
+fn agent_runs_a_gang_and_gives_its_answer() {
+    support::run(async {
+        let bed = Bed::start(options::Switches::default()).await;
+        let result = bed.run(1, 4).await;
+        let text = agent_bed::answer(&bed.control, &result);
+        assert!(text.contains(r#""attempt":"7.1""#) && text.contains(r#""gang":4"#), "{text}");
+        assert_eq!(agent_bed::ends(&bed.standin), [Some(record::End::Done); 4]);
+        // Forgotten: the backend server may drop the tasks.
+        bed.control.send(agent::Down::Forget { attempt: agent_bed::attempt(1) }).await;
+        bed.standin.drained().await;
+        bed.stop().await;
+    });
 }
 
-fn prepare(number: u32, tasks: u32) -> agent::Prepare {
-    agents::prepare(attempt(number), tasks)
+#[test]
+fn agent_stop_checkpoints_and_throttle_slows() {
+    support::run(async {
+        let bed = Bed::start(options::Switches::default()).await;
+        bed.begin(agent_bed::prepare(1, 1, LONG)).await;
+        bed.control.started(&agent_bed::attempt(1)).await;
+        let attempt = agent_bed::attempt(1);
+        bed.control.send(agent::Down::Throttle { attempt: attempt.clone(), percent: 10 }).await;
+        bed.control.send(agent::Down::Stop { attempt: attempt.clone(), grace: 5000 }).await;
+        assert_eq!(bed.control.ended(&attempt).await, agent::TaskResult::Stopped);
+        assert_eq!(agent_bed::ends(&bed.standin), [Some(record::End::Checkpointed)]);
+        bed.stop().await;
+    });
 }
 
-async fn start_agent(control: net::SocketAddr) -> Agent {
-    let settings = settings::agent::Settings {
-        cell: 0,
-        listen: net::SocketAddr::from(([127, 0, 0, 1], 0)),
-        control: vec![control],
-        drain_secs: 10,
-        telemetry: settings::telemetry::Telemetry::default(),
-    };
-    Agent::start(settings).await.expect("an agent")
+#[test]
+fn agent_passes_leaving_on_and_back() {
+    support::run(async {
+        let bed = Bed::start(options::Switches::default()).await;
+        bed.begin(agent_bed::prepare(1, 1, 1500)).await;
+        let asked = time::Instant::now();
+        bed.standin.leave(true);
+        bed.control.announced(true).await;
+        assert!(asked.elapsed() < time::Duration::from_secs(1));
+        bed.control.send(agent::Down::Prepare(agent_bed::prepare(2, 1, 1))).await;
+        assert!(!bed.control.prepared(&agent_bed::attempt(2)).await);
+        // What runs is not cut off.
+        agent_bed::answer(&bed.control, &bed.control.ended(&agent_bed::attempt(1)).await);
+        bed.control.with(|inner| inner.said.clear());
+        bed.standin.leave(false);
+        bed.control.announced(false).await;
+        bed.stop().await;
+    });
 }
 
-impl Bed {
-    /// A registered worker that holds its lease.
-    async fn start(switches: options::Switches) -> Self {
-        let control = control::Control::start().await;
-        let agent = start_agent(control.addr()).await;
-        let mut options = options::Options::new(agent.addr(), "w1", "r1");
-        options.switches = switches;
-        let standin = standin::Standin::start(options).await.expect("a stand-in");
-        let bed = Self { control, agent, standin };
-        bed.leased().await;
-        bed
-    }
-
-    /// Waits until the lease is held: the second heartbeat follows its grant.
-    async fn leased(&self) {
-        let second = |up: &agent::Up| match up {
-            agent::Up::Heartbeat { sequence, .. } if *sequence >= 2 => Some(()),
-            _ => None,
-        };
-        self.control.wait("a second heartbeat", second).await;
-    }
+#[test]
+fn agent_planned_stop_hands_over() {
+    support::run(async {
+        let bed = Bed::start(options::Switches::default()).await;
+        bed.begin(agent_bed::prepare(1, 2, 1000)).await;
+        bed.control.started(&agent_bed::attempt(1)).await;
+        bed.control.with(|inner| inner.forgets = true);
+        bed.agent.stop().await;
+        // All was said before the agent ended.
+        bed.control.announced(true).await;
+        agent_bed::answer(&bed.control, &bed.control.ended(&agent_bed::attempt(1)).await);
+        bed.standin.stop().await;
+        bed.control.stop().await;
+    });
+}
 
-    async fn prepared(&self, prepare: agent::Prepare) -> bool {
-        let wanted = prepare.attempt.clone();
-        self.control.send(agent::Down::Prepare(prepare)).await;
-        self.control
-            .wait("prepared", |up| match up {
-                agent::Up::Prepared { attempt, ok, .. } if *attempt == wanted => Some(*ok),
-                _ => None,
-            })
-            .await
-    }
+#[test]
+fn agent_follows_the_leader() {
+    support::run(async {
+        let bed = Bed::start(options::Switches::default()).await;
+        bed.begin(agent_bed::prepare(1, 1, 1500)).await;
+        bed.control.started(&agent_bed::attempt(1)).await;
+        let next = agent_control::Control::start().await;
+        bed.control.with(|inner| inner.redirect = Some(next.addr().to_string()));
+        bed.control.send(agent::Down::NotLeader { leader: None }).await;
+        let result = next.ended(&agent_bed::attempt(1)).await;
+        agent_bed::answer(&next, &result);
+        assert_eq!(agent_bed::ends(&bed.standin), [Some(record::End::Done)]);
+        // Until it is forgotten, a further leader hears of it too.
+        let last = agent_control::Control::start().await;
+        next.with(|inner| inner.redirect = Some(last.addr().to_string()));
+        next.send(agent::Down::NotLeader { leader: Some(last.addr().to_string()) }).await;
+        assert_eq!(last.ended(&agent_bed::attempt(1)).await, result);
+        agent_bed::answer(&last, &result);
+        next.stop().await;
+        last.stop().await;
+        bed.stop().await;
+    });
+}
 
-    async fn run(&self, number: u32, tasks: u32) -> agent::TaskResult {
-        assert!(self.prepared(prepare(number, tasks)).await);
-        self.control.send(agent::Down::Start { attempt: attempt(number), epoch: 1 }).await;
-        self.ended(number).await
-    }
+#[test]
+fn agent_lease_end_stops_tasks_before_control_gives_up() {
+    support::run(async {
+        let bed = Bed::start(options::Switches::default()).await;
+        bed.begin(agent_bed::prepare(1, 2, LONG)).await;
+        bed.control.started(&agent_bed::attempt(1)).await;
+        bed.control.with(|inner| inner.grants = false);
+        let since = time::Instant::now();
+        let result = bed.control.ended(&agent_bed::attempt(1)).await;
+        assert!(matches!(result, agent::TaskResult::Unknown(_)), "{result:?}");
+        assert!(since.elapsed() < (lease::LENGTH + lease::MARGIN).to_duration());
+        assert!(agent_bed::ends(&bed.standin).iter().all(Option::is_some));
+        bed.stop().await;
+    });
+}
 
-    async fn ended(&self, number: u32) -> agent::TaskResult {
-        self.control
-            .wait("ended", |up| match up {
-                agent::Up::Ended { attempt: ended, result } if *ended == attempt(number) => {
-                    Some(result.clone())
-                }
-                _ => None,
-            })
-            .await
-    }
+#[test]
+fn agent_killed_leaves_no_task_past_its_lease() {
+    support::run(async {
+        let bed = Bed::start(options::Switches::default()).await;
+        bed.begin(agent_bed::prepare(1, 2, LONG)).await;
+        bed.control.started(&agent_bed::attempt(1)).await;
+        let since = time::Instant::now();
+        bed.agent.abort().await;
+        while agent_bed::ends(&bed.standin).iter().any(Option::is_none) {
+            assert!(since.elapsed() < lease::LENGTH.to_duration());
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+        assert_eq!(agent_bed::ends(&bed.standin), [Some(record::End::LeaseEnded); 2]);
+        bed.standin.stop().await;
+        bed.control.stop().await;
+    });
+}
 
-    /// The answer as its chunks give it.
-    fn answer(&self) -> Vec<u8> {
-        let mut bytes = Vec::new();
-        self.control.with(|inner| {
-            for up in &inner.said {
-                if let agent::Up::Chunk { offset, bytes: chunk, .. } = up {
-                    assert!(chunk.len() <= job::CHUNK);
-                    bytes.truncate(*offset as usize);
-                    bytes.extend_from_slice(chunk);
-                }
-            }
+#[test]
+fn agent_restarted_clears_tasks_before_it_announces() {
+    support::run(async {
+        let bed = Bed::start(options::Switches::default()).await;
+        bed.begin(agent_bed::prepare(1, 2, LONG)).await;
+        bed.control.started(&agent_bed::attempt(1)).await;
+        let addr = bed.agent.addr();
+        bed.agent.abort().await;
+        bed.control.with(|inner| {
+            inner.said.clear();
+            inner.epoch = 2;
         });
-        bytes
-    }
+        let agent = agent_bed::start_agent(addr, vec![bed.control.addr()]).await;
+        bed.control.announced(false).await;
+        assert_eq!(agent_bed::ends(&bed.standin), [Some(record::End::Stopped); 2]);
+        // The new run of the agent can't tell what became of the attempt.
+        bed.control.leased().await;
+        let attempt = agent_bed::attempt(1);
+        bed.control.send(agent::Down::Start { attempt: attempt.clone(), epoch: 1 }).await;
+        let result = bed.control.ended(&attempt).await;
+        assert!(matches!(result, agent::TaskResult::Unknown(_)), "{result:?}");
+        assert_eq!(bed.standin.record().len(), 2);
+        agent.abort().await;
+        bed.standin.stop().await;
+        bed.control.stop().await;
+    });
+}
 
-    async fn stop(self) {
-        self.agent.abort().await;
-        self.standin.stop().await;
-        self.control.stop().await;
-    }
+#[rstest]
+#[case::truncated(r#"{"name":"w1""#, 400)]
+#[case::wrong_type(r#"{"name":7}"#, 400)]
+#[case::missing_field(r#"{"name":"w1"}"#, 400)]
+#[case::unknown_field(r#"{"colour":"red"}"#, 400)]
+#[case::not_json("hello", 400)]
+fn agent_refuses_announcement(#[case] body: &str, #[case] status: u16) {
+    support::run(async {
+        let bed = Bed::start(options::Switches::default()).await;
+        let reply = http_client::send(bed.agent.addr(), "PUT", "/v1/announce", "", body).await;
+        assert_eq!(reply.status, status);
+        assert!(reply.json()["error"].is_string());
+        bed.stop().await;
+    });
 }
 
-fn ends(standin: &standin::Standin) -> Vec<Option<record::End>> {
-    standin.record().iter().map(|run| run.end).collect()
+#[rstest]
+#[case::no_slots("slots", "0", "slots: must be 1 to 65536")]
+#[case::too_many("connections", "70000", "connections: must be 1 to 65536")]
+#[case::negative("accelerators", "-1", "invalid value")]
+#[case::no_service("services", "[]", "services: must name 1 to 64 services")]
+#[case::bad_name("rack", "\"<b>\"", "rack: must be 1 to 128 of")]
+#[case::bad_url("url", "\"ftp://x\"", "url: must be http://HOST:PORT")]
+#[case::other_worker("name", "\"w2\"", "this agent serves worker w1")]
+fn agent_refuses_value(#[case] field: &str, #[case] value: &str, #[case] error: &str) {
+    support::run(async {
+        let bed = Bed::start(options::Switches::default()).await;
+        let announcement = support::agents::announcement();
+        let mut body = serde_json::to_value(announcement).expect("JSON");
+        body[field] = serde_json::from_str(value).expect("JSON");
+        let body = body.to_string();
+        let reply = http_client::send(bed.agent.addr(), "PUT", "/v1/announce", "", &body).await;
+        let said = reply.json()["error"].as_str().expect("an error").to_owned();
+        assert!(said.contains(error), "{said}");
+        bed.stop().await;
+    });
 }
 
 #[test]
-fn agent_runs_a_gang_and_gives_its_answer() {
+fn agent_shows_health() {
     support::run(async {
         let bed = Bed::start(options::Switches::default()).await;
-        let result = bed.run(1, 4).await;
-        let answer = bed.answer();
-        let agent::TaskResult::Done(Some(meta)) = result else { panic!("{result:?}") };
-        assert_eq!(meta.length, answer.len() as u64);
-        assert_eq!(meta.sha256, <[u8; 32]>::from(sha2::Sha256::digest(&answer)));
-        let text = String::from_utf8(answer).expect("text");
-        assert!(text.contains(r#""attempt":"7.1""#) && text.contains("joondalup"), "{text}");
-        assert_eq!(ends(&bed.standin), [Some(record::End::Done); 4]);
+        let addr = bed.agent.addr();
+        let get = async |path| http_client::send(addr, "GET", path, "", "").await.status;
+        assert_eq!(get("/healthz").await, 200);
+        assert_eq!(get("/readyz").await, 200);
+        assert_eq!(get("/metrics").await, 200);
+        assert_eq!(get("/nothing").await, 404);
+        assert_eq!(http_client::send(addr, "POST", "/readyz", "", "").await.status, 405);
         bed.stop().await;
     });
 }
--- /dev/null
+++ b/tests/testsuite/agent_faults.rs
@@ -0,0 +1,104 @@
+//! The agent against a backend server that is slow, wrong or dead.
+
+use std::time;
+
+use hemlockcleat::core::ledger::job;
+use hemlockcleat::standin::options;
+use hemlockcleat::standin::options::Switches;
+use hemlockcleat::standin::record;
+use hemlockcleat::wire::agent;
+use rstest::rstest;
+
+use crate::support;
+use crate::support::agent_bed;
+use crate::support::agent_bed::Bed;
+
+#[rstest]
+#[case::start_unanswered(Switches { mute_starts: 1, ..Switches::default() })]
+#[case::crossed_once(Switches { crossed: 1, ..Switches::default() })]
+#[case::crossed_twice(Switches { crossed: 2, ..Switches::default() })]
+#[case::answer_corrupt_once(Switches { corrupt: 1, ..Switches::default() })]
+#[case::answer_late(Switches { late_ms: 1500, ..Switches::default() })]
+#[case::slow(Switches { slow: 20, ..Switches::default() })]
+#[case::straggler(Switches {
+    straggler_every: 1,
+    straggler_factor: 20,
+    ..Switches::default()
+})]
+#[case::longest_answer(Switches { answer_bytes: job::MAX_ANSWER as usize, ..Switches::default() })]
+fn agent_gets_the_whole_answer(#[case] switches: options::Switches) {
+    support::run(async {
+        let bed = Bed::start(switches).await;
+        let result = bed.run(1, 1).await;
+        let text = agent_bed::answer(&bed.control, &result);
+        assert!(text.contains(r#""attempt":"7.1""#));
+        assert_eq!(agent_bed::ends(&bed.standin), [Some(record::End::Done)]);
+        bed.stop().await;
+    });
+}
+
+/// What is to be said of an attempt.
+#[derive(PartialEq)]
+enum Said {
+    NotStarted,
+    Failed,
+    Unknown,
+}
+
+#[rstest]
+#[case::refuses(Switches { refuses: true, ..Switches::default() }, Said::NotStarted, 0)]
+#[case::fails(Switches { fails: true, ..Switches::default() }, Said::Failed, 1)]
+#[case::always_corrupt(Switches { corrupt: 99, ..Switches::default() }, Said::Failed, 1)]
+#[case::always_crossed(Switches { crossed: 999_999, ..Switches::default() }, Said::Failed, 1)]
+#[case::answer_too_long(
+    Switches { answer_bytes: job::MAX_ANSWER as usize + 1, ..Switches::default() },
+    Said::Failed,
+    1
+)]
+#[case::dies(Switches { dies_at: 1, ..Switches::default() }, Said::Unknown, 1)]
+fn agent_says_what_it_knows(
+    #[case] switches: options::Switches,
+    #[case] said: Said,
+    #[case] runs: usize,
+) {
+    support::run(async {
+        let bed = Bed::start(switches).await;
+        let result = bed.run(1, 1).await;
+        let fits = match &result {
+            agent::TaskResult::NotStarted => said == Said::NotStarted,
+            agent::TaskResult::Failed(_) => said == Said::Failed,
+            agent::TaskResult::Unknown(_) => said == Said::Unknown,
+            _ => false,
+        };
+        assert!(fits, "{result:?}");
+        assert_eq!(bed.standin.record().len(), runs);
+        // Whatever was said, nothing runs any more, and a repeated start starts nothing.
+        assert!(agent_bed::ends(&bed.standin).iter().all(Option::is_some));
+        let attempt = agent_bed::attempt(1);
+        bed.control.send(agent::Down::Start { attempt: attempt.clone(), epoch: 1 }).await;
+        assert_eq!(bed.control.ended(&attempt).await, result);
+        assert_eq!(bed.standin.record().len(), runs);
+        bed.stop().await;
+    });
+}
+
+#[test]
+fn agent_gives_up_a_silent_backend_and_takes_it_back() {
+    support::run(async {
+        let bed = Bed::start(Switches::default()).await;
+        bed.begin(agent_bed::prepare(1, 1, 600_000)).await;
+        bed.control.started(&agent_bed::attempt(1)).await;
+        let since = time::Instant::now();
+        bed.standin.set(Switches { silent: true, ..Switches::default() });
+        bed.control.announced(true).await;
+        assert!(since.elapsed() < time::Duration::from_secs(5));
+        let result = bed.control.ended(&agent_bed::attempt(1)).await;
+        assert!(matches!(result, agent::TaskResult::Unknown(_)), "{result:?}");
+        assert!(agent_bed::ends(&bed.standin).iter().all(Option::is_some));
+        bed.control.with(|inner| inner.said.clear());
+        bed.standin.set(Switches::default());
+        bed.control.announced(false).await;
+        agent_bed::answer(&bed.control, &bed.run(2, 1).await);
+        bed.stop().await;
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,17 +1,18 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
-mod entry;
-mod entry_faults;
-mod gang;
 mod agent;
+mod agent_faults;
 mod agent_model;
 mod agent_state;
+mod entry;
+mod entry_faults;
+mod gang;
 mod lease;
 mod ledger;
 mod limit;
 mod placement;
-mod settings;
 mod placement_random;
+mod settings;
 mod settings_examples;
 mod support;
 mod telemetry;
--- a/tests/testsuite/support/control.rs
+++ b/tests/testsuite/support/agent_control.rs
@@ -9,6 +9,7 @@
 use hemlockcleat::core::lease;
 use hemlockcleat::net::stream;
 use hemlockcleat::wire::agent;
+use hemlockcleat::wire::common;
 
 /// How long a test waits for something to be said.
 const PATIENCE: time::Duration = time::Duration::from_secs(20);
@@ -21,6 +22,8 @@
     pub epoch: u64,
     /// Whether heartbeats are answered with a lease.
     pub grants: bool,
+    /// Whether ends are answered with leave to forget the attempt.
+    pub forgets: bool,
     /// Where a new session is sent on to.
     pub redirect: Option<String>,
     /// Sessions that were opened.
@@ -75,6 +78,9 @@
                     length: lease::LENGTH.0,
                 })
             }
+            agent::Up::Ended { attempt, .. } if inner.forgets => {
+                Some(agent::Down::Forget { attempt: attempt.clone() })
+            }
             _ => None,
         }
     }
@@ -87,6 +93,7 @@
             said: Vec::new(),
             epoch: 1,
             grants: true,
+            forgets: false,
             redirect: None,
             sessions: 0,
         };
@@ -125,6 +132,50 @@
         found.unwrap_or_else(|_| panic!("never said: {what}"))
     }
 
+    /// Waits until the lease is held: the second heartbeat follows the grant of the first.
+    pub async fn leased(&self) {
+        let second = |up: &agent::Up| match up {
+            agent::Up::Heartbeat { sequence, .. } if *sequence >= 2 => Some(()),
+            _ => None,
+        };
+        self.wait("a second heartbeat", second).await;
+    }
+
+    /// The answer to a preparation.
+    pub async fn prepared(&self, wanted: &common::Attempt) -> bool {
+        let prepared = |up: &agent::Up| match up {
+            agent::Up::Prepared { attempt, ok, .. } if attempt == wanted => Some(*ok),
+            _ => None,
+        };
+        self.wait("an answer to the preparation", prepared).await
+    }
+
+    pub async fn started(&self, wanted: &common::Attempt) {
+        let started = |up: &agent::Up| match up {
+            agent::Up::Started { attempt } if attempt == wanted => Some(()),
+            _ => None,
+        };
+        self.wait("started", started).await;
+    }
+
+    /// How an attempt ended.
+    pub async fn ended(&self, wanted: &common::Attempt) -> agent::TaskResult {
+        let ended = |up: &agent::Up| match up {
+            agent::Up::Ended { attempt, result } if attempt == wanted => Some(result.clone()),
+            _ => None,
+        };
+        self.wait("ended", ended).await
+    }
+
+    /// Waits until the worker was announced as leaving, or as staying.
+    pub async fn announced(&self, wanted: bool) {
+        let announced = |up: &agent::Up| match up {
+            agent::Up::Announce { leaving, .. } if *leaving == wanted => Some(()),
+            _ => None,
+        };
+        self.wait("announced", announced).await;
+    }
+
     pub async fn stop(self) {
         self.server.stop().await;
     }
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,7 +1,8 @@
 //! Fakes and helpers that several matters use.
 
+pub mod agent_bed;
+pub mod agent_control;
 pub mod agents;
-pub mod control;
 pub mod fake_control;
 pub mod http_client;
 pub mod plans;
