--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,8 @@
 mod placement_random;
 mod settings;
 mod settings_examples;
+mod replica;
+mod replica_support;
 mod support;
 mod telemetry;
 mod verdict;
