Test the replicated log under generated faults and without each rule

Cause: the log's promises (committed entries stay, one leader a term, one lease at a time, equal states, no stale reads, a wiped disk counts for nothing) were only tried by hand.

Change: a world of three cores with disks, a bag of messages and a clock; generated sequences under a fixed seed; each rule taken out in turn.

Before: no evidence.

Conclusion: each rule in `Guards` is needed and in force.

--- /dev/null
+++ b/tests/testsuite/consensus.rs
@@ -0,0 +1,199 @@
+//! The replicated log under generated faults, and what happens without each of its rules.
+
+use hemlockcleat::core::consensus;
+use proptest::prelude::Strategy as _;
+use proptest::strategy;
+use proptest::test_runner;
+
+use crate::consensus_world;
+use crate::consensus_world::Action;
+
+/// Cases of one run over sound rules.
+const CASES: u32 = 500;
+
+/// Cases in which a missing rule has to show.
+const MUTANT_CASES: u32 = 5000;
+
+fn action() -> impl strategy::Strategy<Value = Action> {
+    let node = || 0..consensus_world::NODES;
+    proptest::prop_oneof![
+        6 => (1..80_u64).prop_map(|tens| Action::Run(tens * 10)),
+        2 => (1..60_u64).prop_map(|tens| Action::Wait(tens * 10)),
+        2 => (1..20_u64).prop_map(|tens| Action::Stall(tens * 10)),
+        3 => (0..50_usize).prop_map(Action::Deliver),
+        2 => (0..50_usize).prop_map(Action::Duplicate),
+        1 => (0..50_usize).prop_map(Action::Lose),
+        1 => node().prop_map(Action::Sync),
+        6 => node().prop_map(Action::Propose),
+        3 => node().prop_map(Action::Read),
+        2 => (node(), 0..4_usize).prop_map(|(node, keep)| Action::Crash(node, keep)),
+        3 => node().prop_map(Action::Restart),
+        1 => (0..4_usize).prop_map(Action::Outage),
+        1 => node().prop_map(Action::Wipe),
+        2 => strategy::Just(Action::Repair),
+        2 => (node(), node()).prop_map(|(from, to)| Action::Cut(from, to)),
+        1 => node().prop_map(Action::Isolate),
+        3 => strategy::Just(Action::Heal),
+        1 => node().prop_map(Action::Freeze),
+        2 => node().prop_map(Action::Thaw),
+        1 => node().prop_map(Action::HandOver),
+        1 => node().prop_map(Action::Compact),
+    ]
+}
+
+fn actions() -> impl strategy::Strategy<Value = Vec<Action>> {
+    proptest::collection::vec(action(), 10..60)
+}
+
+fn with_jumps() -> impl strategy::Strategy<Value = Vec<Action>> {
+    let node = 0..consensus_world::NODES;
+    let jump = (node, 1..1000_u64).prop_map(|(node, millis)| Action::Jump(node, millis));
+    proptest::collection::vec(proptest::prop_oneof![20 => action(), 1 => jump], 10..60)
+}
+
+fn search(
+    cases: u32,
+    guards: consensus::Guards,
+    actions: impl strategy::Strategy<Value = Vec<Action>>,
+) -> Result<(), test_runner::TestError<Vec<Action>>> {
+    let config = test_runner::Config { cases, failure_persistence: None, ..Default::default() };
+    let rng = test_runner::TestRng::deterministic_rng(test_runner::RngAlgorithm::ChaCha);
+    test_runner::TestRunner::new_with_rng(config, rng).run(&actions, |actions| {
+        let mut world = consensus_world::World::new(guards);
+        world.play(&actions).map_err(test_runner::TestCaseError::fail)
+    })
+}
+
+fn without(remove: impl Fn(&mut consensus::Guards)) -> consensus::Guards {
+    let mut guards = consensus::Guards::ALL;
+    remove(&mut guards);
+    guards
+}
+
+#[test]
+fn promises_hold_under_faults() {
+    search(CASES, consensus::Guards::ALL, actions()).expect("no promise is broken");
+}
+
+#[test]
+fn promises_hold_under_faults_and_clock_jumps() {
+    search(CASES, consensus::Guards::ALL, with_jumps()).expect("no promise is broken");
+}
+
+#[rstest::rstest]
+#[case::identity(without(|guards| guards.identity = false))]
+#[case::sync(without(|guards| guards.sync = false))]
+#[case::lease(without(|guards| guards.lease = false))]
+fn promise_breaks_without_rule(#[case] guards: consensus::Guards) {
+    let found = search(MUTANT_CASES, guards, actions()).expect_err("the rule is needed");
+    let test_runner::TestError::Fail(reason, actions) = found else { panic!("{found}") };
+    println!("{guards:?}: {reason} after {actions:?}");
+    // The same actions break nothing while all rules are in force.
+    let mut sound = consensus_world::World::new(consensus::Guards::ALL);
+    sound.play(&actions).expect("no promise is broken");
+}
+
+/// Plays a read at a leader that was cut off while the others' clocks jumped ahead, so that they
+/// have elected another before check-quorum could end it.
+fn stale_read(guards: consensus::Guards) -> Result<(), String> {
+    let mut world = consensus_world::World::new(guards);
+    world.play(&[Action::Run(1500)])?;
+    let leader = world.leader().expect("a leader");
+    let [first, second] = [1, 2].map(|step| (leader + step) % consensus_world::NODES);
+    // One stands at once; the other only ceases to withhold its vote.
+    world.play(&[Action::Isolate(leader), Action::Jump(first, 900), Action::Jump(second, 400)])?;
+    world.play(&[Action::Run(200), Action::Read(leader)])
+}
+
+#[test]
+fn read_of_stale_leader_is_not_answered() {
+    stale_read(consensus::Guards::ALL).expect("no promise is broken");
+}
+
+#[test]
+fn read_of_stale_leader_is_answered_without_confirmation() {
+    let broken = stale_read(without(|guards| guards.confirm = false));
+    let reason = broken.expect_err("the rule is needed");
+    assert!(reason.contains("a read sees"), "{reason}");
+}
+
+/// Plays a follower that loses its leader while the third node hears both.
+fn half_cut(guards: consensus::Guards) -> Result<(), String> {
+    let mut world = consensus_world::World::new(guards);
+    world.play(&[Action::Run(1500)])?;
+    let leader = world.leader().expect("a leader");
+    let follower = (leader + 1) % consensus_world::NODES;
+    let cuts = [Action::Cut(leader, follower), Action::Cut(follower, leader)];
+    world.play(&cuts)?;
+    world.play(&[Action::Run(3000)])?;
+    match world.leader() == Some(leader) {
+        true => Ok(()),
+        false => Err("the leader was replaced".to_owned()),
+    }
+}
+
+#[test]
+fn half_cut_replaces_no_leader() {
+    half_cut(consensus::Guards::ALL).expect("no promise is broken");
+}
+
+#[test]
+fn half_cut_makes_two_leases_without_withheld_votes() {
+    let broken = half_cut(without(|guards| guards.withhold = false));
+    let reason = broken.expect_err("the rule is needed");
+    assert!(reason.contains("lead at once"), "{reason}");
+}
+
+/// Plays the return of a replica that was cut off. Returns whether the term has changed.
+fn return_disturbs(guards: consensus::Guards) -> bool {
+    let mut world = consensus_world::World::new(guards);
+    world.play(&[Action::Run(1500)]).expect("a sound start");
+    let leader = world.leader().expect("a leader");
+    let term = world.term();
+    let cut = (leader + 1) % consensus_world::NODES;
+    let actions = [Action::Isolate(cut), Action::Run(3000), Action::Heal, Action::Run(1000)];
+    world.play(&actions).expect("no promise is broken");
+    world.term() != term || world.leader() != Some(leader)
+}
+
+#[test]
+fn return_of_isolated_replica_disturbs_nothing() {
+    assert!(!return_disturbs(consensus::Guards::ALL));
+}
+
+#[test]
+fn return_of_isolated_replica_disturbs_without_pre_vote() {
+    assert!(return_disturbs(without(|guards| guards.pre_vote = false)));
+}
+
+#[rstest::rstest]
+fn second_loss_after_repair_loses_nothing(
+    #[values(0, 1, 2)] first: usize,
+    #[values(0, 1, 2)] second: usize,
+) {
+    let mut world = consensus_world::World::new(consensus::Guards::ALL);
+    let propose = (0..consensus_world::NODES).map(Action::Propose).collect::<Vec<_>>();
+    world.play(&[Action::Run(1500)]).expect("a sound start");
+    world.play(&propose).expect("no promise is broken");
+    world.play(&[Action::Run(100), Action::Wipe(first), Action::Run(1500)]).expect("sound");
+    for _ in 0..4 {
+        world.play(&[Action::Repair, Action::Run(300)]).expect("no promise is broken");
+    }
+    assert!(world.whole(), "the first loss is repaired");
+    let before = world.committed();
+    world.play(&[Action::Wipe(second), Action::Run(1500)]).expect("no promise is broken");
+    world.play(&propose).expect("no promise is broken");
+    for _ in 0..4 {
+        world.play(&[Action::Repair, Action::Run(300)]).expect("no promise is broken");
+    }
+    assert!(world.whole() && world.committed() > before);
+}
+
+#[test]
+fn leader_hands_over_without_waiting_for_timeouts() {
+    let mut world = consensus_world::World::new(consensus::Guards::ALL);
+    world.play(&[Action::Run(1500)]).expect("a sound start");
+    let leader = world.leader().expect("a leader");
+    world.play(&[Action::HandOver(leader), Action::Run(150)]).expect("no promise is broken");
+    assert!(world.leader().is_some_and(|next| next != leader));
+}
--- /dev/null
+++ b/tests/testsuite/consensus_world.rs
@@ -0,0 +1,537 @@
+//! A few cores with their disks, a bag of messages and a clock, driven step by step; every output
+//! is held against what must always be true.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use hemlockcleat::core::consensus;
+use hemlockcleat::core::consensus::entry;
+use hemlockcleat::core::consensus::membership;
+use hemlockcleat::core::consensus::message;
+use hemlockcleat::core::consensus::replica;
+use hemlockcleat::core::ids;
+use hemlockcleat::core::time;
+
+pub const NODES: usize = 3;
+const GROUP: ids::GroupKey = ids::GroupKey(7);
+/// Milliseconds between two looks at the clock.
+const GRAIN: u64 = 10;
+/// Messages that may be under way; the oldest are lost.
+const BAG: usize = 400;
+/// Bytes of a snapshot chunk; short, so that transfers take several.
+const CHUNK: usize = 16;
+
+/// One thing that happens. Numbers are taken modulo what there is.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Time passes; messages arrive in order and disks work.
+    Run(u64),
+    /// Time passes and nothing else happens but timers.
+    Wait(u64),
+    /// Time passes and messages arrive in order, but no disk syncs.
+    Stall(u64),
+    Deliver(usize),
+    Duplicate(usize),
+    Lose(usize),
+    Sync(usize),
+    Propose(usize),
+    Read(usize),
+    /// The process dies with some of its unsynced batches on disk.
+    Crash(usize, usize),
+    Restart(usize),
+    /// The process dies and its disk is lost.
+    Wipe(usize),
+    /// A leader takes the next step towards a group of the present disks.
+    Repair,
+    /// All processes die, each with some of its unsynced batches on disk, and start again.
+    Outage(usize),
+    /// Messages from one to the other are lost from now on.
+    Cut(usize, usize),
+    Isolate(usize),
+    Heal,
+    Freeze(usize),
+    Thaw(usize),
+    /// The monotonic clock jumps ahead, which a sound host does not do.
+    Jump(usize, u64),
+    HandOver(usize),
+    Compact(usize),
+}
+
+#[derive(Default)]
+struct Disk {
+    hard: entry::Hard,
+    snapshot: Option<(entry::Snapshot, Bytes)>,
+    entries: Vec<entry::Entry>,
+}
+
+struct Node {
+    id: entry::Identity,
+    core: Option<replica::Core>,
+    disk: Disk,
+    pending: VecDeque<entry::Batch>,
+    applied: u64,
+    state: Vec<u8>,
+    frozen: bool,
+    skew: u64,
+}
+
+pub struct World {
+    nodes: Vec<Node>,
+    bag: VecDeque<message::Envelope>,
+    cuts: [[bool; NODES]; NODES],
+    now: u64,
+    stores: u128,
+    tokens: u64,
+    guards: consensus::Guards,
+    /// Clocks have jumped, so leases prove nothing any more.
+    jumped: bool,
+    committed: BTreeMap<u64, entry::Entry>,
+    states: BTreeMap<u64, Vec<u8>>,
+    leaders: BTreeMap<ids::Term, entry::Identity>,
+    reads: BTreeMap<u64, u64>,
+}
+
+impl World {
+    /// A group of three that has just been founded.
+    pub fn new(guards: consensus::Guards) -> Self {
+        let mut world = Self {
+            nodes: Vec::new(),
+            bag: VecDeque::new(),
+            cuts: [[false; NODES]; NODES],
+            now: 0,
+            stores: 100,
+            tokens: 0,
+            guards,
+            jumped: false,
+            committed: BTreeMap::new(),
+            states: BTreeMap::from([(0, Vec::new())]),
+            leaders: BTreeMap::new(),
+            reads: BTreeMap::new(),
+        };
+        for number in 0..NODES {
+            let store = ids::StoreKey(number as u128 + 1);
+            let id = entry::Identity { replica: ids::ReplicaKey(number as u64 + 1), store };
+            world.nodes.push(Node {
+                id,
+                core: None,
+                disk: Disk::default(),
+                pending: VecDeque::new(),
+                applied: 0,
+                state: Vec::new(),
+                frozen: false,
+                skew: 0,
+            });
+        }
+        let member = |node: &Node| entry::Member { id: node.id, addr: String::new(), voter: true };
+        let founding = entry::Membership::new(world.nodes.iter().map(member).collect());
+        for number in 0..NODES {
+            world.restart(number);
+            world.input(number, message::Input::Adopt(GROUP)).expect("a sound start");
+        }
+        world.input(0, message::Input::Found(founding)).expect("a sound start");
+        world
+    }
+
+    /// Plays all actions; the first broken promise ends it.
+    pub fn play(&mut self, actions: &[Action]) -> Result<(), String> {
+        for action in actions {
+            self.act(action)?;
+            self.check_leases()?;
+        }
+        Ok(())
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        (0..NODES).find(|&number| self.leads(number))
+    }
+
+    pub fn term(&self) -> ids::Term {
+        let terms = self.nodes.iter().filter_map(|node| node.core.as_ref());
+        terms.map(|core| core.hard().term).max().unwrap_or_default()
+    }
+
+    pub fn committed(&self) -> usize {
+        self.committed.len()
+    }
+
+    /// Whether every node is a voter and has applied everything.
+    pub fn whole(&self) -> bool {
+        let all = self.committed.len() as u64;
+        let whole = |node: &Node| {
+            let core = node.core.as_ref();
+            node.applied == all && core.is_some_and(|core| core.membership().votes(node.id))
+        };
+        self.nodes.iter().all(whole)
+    }
+
+    fn clock(&self, number: usize) -> time::Tick {
+        time::Tick(self.now + self.nodes[number].skew)
+    }
+
+    fn leads(&self, number: usize) -> bool {
+        let node = &self.nodes[number];
+        let now = self.clock(number);
+        !node.frozen && node.core.as_ref().is_some_and(|core| core.leads(now))
+    }
+
+    fn check_leases(&self) -> Result<(), String> {
+        let leading: Vec<usize> = (0..NODES).filter(|&number| self.leads(number)).collect();
+        if leading.len() > 1 && !self.jumped {
+            return Err(format!("{leading:?} lead at once"));
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, action: &Action) -> Result<(), String> {
+        match *action {
+            Action::Run(millis) => self.run(millis, true),
+            Action::Stall(millis) => self.run(millis, false),
+            Action::Wait(millis) => self.pass(millis),
+            Action::Deliver(position) => match self.pick(position) {
+                Some(position) => self.deliver(position),
+                None => Ok(()),
+            },
+            Action::Duplicate(position) => {
+                if let Some(envelope) = self.pick(position).map(|p| self.bag[p].clone()) {
+                    self.bag.push_back(envelope);
+                }
+                Ok(())
+            }
+            Action::Lose(position) => {
+                if let Some(position) = self.pick(position) {
+                    self.bag.remove(position);
+                }
+                Ok(())
+            }
+            Action::Sync(number) => self.sync(number),
+            Action::Propose(number) => {
+                self.tokens += 1;
+                let command = Bytes::copy_from_slice(&self.tokens.to_le_bytes());
+                self.input(number, message::Input::Propose(vec![(self.tokens, command)]))
+            }
+            Action::Read(number) => {
+                self.tokens += 1;
+                self.reads.insert(self.tokens, self.committed.len() as u64);
+                self.input(number, message::Input::Read(vec![self.tokens]))
+            }
+            Action::Crash(number, keep) => {
+                self.crash(number, keep);
+                Ok(())
+            }
+            Action::Restart(number) => {
+                if self.nodes[number].core.is_none() {
+                    self.restart(number);
+                }
+                Ok(())
+            }
+            Action::Wipe(number) => {
+                self.wipe(number);
+                Ok(())
+            }
+            Action::Outage(keep) => {
+                for number in 0..NODES {
+                    self.crash(number, keep);
+                    self.restart(number);
+                }
+                Ok(())
+            }
+            Action::Repair => self.repair(),
+            Action::Cut(from, to) => {
+                self.cuts[from][to] = true;
+                Ok(())
+            }
+            Action::Isolate(number) => {
+                for other in 0..NODES {
+                    self.cuts[number][other] = true;
+                    self.cuts[other][number] = true;
+                }
+                Ok(())
+            }
+            Action::Heal => {
+                self.cuts = [[false; NODES]; NODES];
+                Ok(())
+            }
+            Action::Freeze(number) => {
+                self.nodes[number].frozen = true;
+                Ok(())
+            }
+            Action::Thaw(number) => {
+                self.nodes[number].frozen = false;
+                Ok(())
+            }
+            Action::Jump(number, millis) => {
+                self.nodes[number].skew += millis;
+                self.jumped = true;
+                Ok(())
+            }
+            Action::HandOver(number) => self.input(number, message::Input::HandOver),
+            Action::Compact(number) => self.compact(number),
+        }
+    }
+
+    fn pick(&self, position: usize) -> Option<usize> {
+        position.checked_rem(self.bag.len())
+    }
+
+    fn run(&mut self, millis: u64, disks: bool) -> Result<(), String> {
+        for _ in 0..millis / GRAIN {
+            self.pass(GRAIN)?;
+            for _ in 0..3 {
+                for number in 0..NODES {
+                    if disks {
+                        self.sync(number)?;
+                    }
+                }
+                for _ in 0..self.bag.len() {
+                    self.deliver(0)?;
+                }
+            }
+            self.check_leases()?;
+        }
+        Ok(())
+    }
+
+    fn pass(&mut self, millis: u64) -> Result<(), String> {
+        let until = self.now + millis;
+        while self.now < until {
+            self.now = until.min(self.now + GRAIN);
+            for number in 0..NODES {
+                let now = self.clock(number);
+                let due = |core: &replica::Core| now >= core.deadline();
+                if self.nodes[number].core.as_ref().is_some_and(due) {
+                    self.input(number, message::Input::Tick)?;
+                }
+            }
+            self.check_leases()?;
+        }
+        Ok(())
+    }
+
+    /// Hands over the message at a place in the bag.
+    fn deliver(&mut self, position: usize) -> Result<(), String> {
+        let Some(envelope) = self.bag.remove(position) else { return Ok(()) };
+        let from = envelope.from.replica.0 as usize - 1;
+        let to = envelope.to.replica.0 as usize - 1;
+        if self.cuts[from][to] {
+            return Ok(());
+        }
+        if self.nodes[to].frozen {
+            self.bag.push_back(envelope);
+            return Ok(());
+        }
+        self.input(to, message::Input::Receive(envelope))
+    }
+
+    fn sync(&mut self, number: usize) -> Result<(), String> {
+        let node = &mut self.nodes[number];
+        if node.frozen || node.core.is_none() {
+            return Ok(());
+        }
+        let Some(last) = node.pending.back().map(|batch| batch.sequence) else { return Ok(()) };
+        for batch in std::mem::take(&mut node.pending) {
+            node.disk.write(batch);
+        }
+        self.input(number, message::Input::Persisted(last))
+    }
+
+    fn crash(&mut self, number: usize, keep: usize) {
+        let node = &mut self.nodes[number];
+        node.core = None;
+        node.frozen = false;
+        let keep = keep % (node.pending.len() + 1);
+        for batch in std::mem::take(&mut node.pending).into_iter().take(keep) {
+            node.disk.write(batch);
+        }
+    }
+
+    fn wipe(&mut self, number: usize) {
+        self.crash(number, 0);
+        self.stores += 1;
+        let node = &mut self.nodes[number];
+        node.disk = Disk::default();
+        node.id.store = ids::StoreKey(self.stores);
+        self.restart(number);
+    }
+
+    fn restart(&mut self, number: usize) {
+        let now = self.clock(number);
+        let guards = self.guards;
+        self.stores += 1;
+        let seed = self.stores as u64;
+        let node = &mut self.nodes[number];
+        let snapshot = node.disk.snapshot.clone();
+        node.applied = snapshot.as_ref().map_or(0, |(snapshot, _)| snapshot.index.0);
+        node.state = snapshot.as_ref().map_or_else(Vec::new, |(_, bytes)| bytes.to_vec());
+        let boot = replica::Boot {
+            id: node.id,
+            hard: node.disk.hard,
+            snapshot: snapshot.map(|(snapshot, _)| snapshot),
+            entries: node.disk.entries.clone(),
+            seed,
+            guards,
+        };
+        node.core = Some(replica::Core::new(now, boot));
+    }
+
+    fn repair(&mut self) -> Result<(), String> {
+        let Some(leader) = self.leader() else { return Ok(()) };
+        let target = |node: &Node| membership::Target {
+            replica: node.id.replica,
+            addr: String::new(),
+            store: Some(node.id.store),
+        };
+        let targets: Vec<_> = self.nodes.iter().map(target).collect();
+        let Some(core) = &self.nodes[leader].core else { return Ok(()) };
+        let caught_up = |id| core.matched(id) >= core.committed();
+        let next = membership::next_step(core.membership(), &targets, caught_up);
+        let Some(membership) = next else { return Ok(()) };
+        self.tokens += 1;
+        let token = self.tokens;
+        self.input(leader, message::Input::Reconfigure { token, membership })
+    }
+
+    /// Makes a snapshot of what the node has applied.
+    fn compact(&mut self, number: usize) -> Result<(), String> {
+        self.sync(number)?;
+        let node = &mut self.nodes[number];
+        let Some(core) = &node.core else { return Ok(()) };
+        let index = ids::LogIndex(node.applied);
+        let Some(term) = core.term_at(index).filter(|_| node.applied > 0) else { return Ok(()) };
+        let snapshot = entry::Snapshot {
+            index,
+            term,
+            membership: core.membership_at(index).clone(),
+            length: node.state.len() as u64,
+            checksum: crc32fast::hash(&node.state),
+        };
+        node.disk.keep_snapshot(snapshot.clone(), Bytes::from(node.state.clone()));
+        self.input(number, message::Input::Compact(snapshot))
+    }
+
+    fn input(&mut self, number: usize, input: message::Input) -> Result<(), String> {
+        let now = self.clock(number);
+        let node = &mut self.nodes[number];
+        let Some(core) = node.core.as_mut().filter(|_| !node.frozen) else { return Ok(()) };
+        let mut out = Vec::new();
+        core.step(now, input, &mut out);
+        for output in out {
+            self.observe(number, output)?;
+        }
+        Ok(())
+    }
+
+    fn observe(&mut self, number: usize, output: message::Output) -> Result<(), String> {
+        match output {
+            message::Output::Send(envelope) => self.send(number, envelope),
+            message::Output::Persist(batch) => {
+                self.nodes[number].pending.push_back(batch);
+                Ok(())
+            }
+            message::Output::Commit(entries) => {
+                entries.into_iter().try_for_each(|entry| self.apply(number, entry))
+            }
+            message::Output::Restore(snapshot, bytes) => {
+                let node = &mut self.nodes[number];
+                node.applied = snapshot.index.0;
+                node.state = bytes.to_vec();
+                self.check_state(number)
+            }
+            message::Output::Ready { token, index } => {
+                let needed = self.reads.get(&token).copied().unwrap_or(0);
+                match index.0 < needed {
+                    true => Err(format!("a read sees {index}, but {needed} was committed")),
+                    false => Ok(()),
+                }
+            }
+            message::Output::Role(message::Role::Leader(term)) => {
+                let core = self.nodes[number].core.as_ref();
+                let known = core.map_or(0, |core| core.committed().0);
+                match known < self.committed.len() as u64 && !self.superseded(term) {
+                    true => Err(format!("the leader of {term} lacks committed entries")),
+                    false => Ok(()),
+                }
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Whether a later term has a leader already.
+    fn superseded(&self, term: ids::Term) -> bool {
+        self.leaders.keys().any(|&later| later > term)
+    }
+
+    fn send(&mut self, number: usize, mut envelope: message::Envelope) -> Result<(), String> {
+        match &mut envelope.body {
+            message::Body::Append { .. } => {
+                let leader = *self.leaders.entry(envelope.term).or_insert(envelope.from);
+                if leader != envelope.from {
+                    return Err(format!("two leaders of term {}", envelope.term));
+                }
+            }
+            message::Body::Chunk { snapshot, offset, bytes } => {
+                let Some((kept, content)) = &self.nodes[number].disk.snapshot else {
+                    return Ok(());
+                };
+                if kept != snapshot {
+                    return Ok(());
+                }
+                let start = *offset as usize;
+                *bytes = content.slice(start..content.len().min(start + CHUNK));
+            }
+            _ => {}
+        }
+        self.bag.push_back(envelope);
+        if self.bag.len() > BAG {
+            self.bag.pop_front();
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, number: usize, entry: entry::Entry) -> Result<(), String> {
+        let node = &mut self.nodes[number];
+        let index = entry.index.0;
+        if index != node.applied + 1 {
+            return Err(format!("entry {index} is applied after {}", node.applied));
+        }
+        node.applied = index;
+        if let entry::Payload::Command(bytes) = &entry.payload {
+            node.state.extend_from_slice(bytes);
+        }
+        let known = self.committed.entry(index).or_insert_with(|| entry.clone());
+        if *known != entry {
+            return Err(format!("committed entry {index} has changed"));
+        }
+        self.check_state(number)
+    }
+
+    fn check_state(&mut self, number: usize) -> Result<(), String> {
+        let node = &self.nodes[number];
+        let known = self.states.entry(node.applied).or_insert_with(|| node.state.clone());
+        match *known == node.state {
+            true => Ok(()),
+            false => Err(format!("states differ at entry {}", node.applied)),
+        }
+    }
+}
+
+impl Disk {
+    fn write(&mut self, batch: entry::Batch) {
+        if let Some(hard) = batch.hard {
+            self.hard = hard;
+        }
+        if let Some(from) = batch.truncate {
+            self.entries.retain(|entry| entry.index < from);
+        }
+        if let Some((snapshot, bytes)) = batch.snapshot {
+            self.keep_snapshot(snapshot, bytes);
+        }
+        let base = self.snapshot.as_ref().map_or(ids::LogIndex(0), |(snapshot, _)| snapshot.index);
+        self.entries.extend(batch.entries.into_iter().filter(|entry| entry.index > base));
+    }
+
+    fn keep_snapshot(&mut self, snapshot: entry::Snapshot, bytes: Bytes) {
+        self.entries.retain(|entry| entry.index > snapshot.index);
+        self.snapshot = Some((snapshot, bytes));
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
+mod consensus;
+mod consensus_world;
 mod replica;
 mod replica_support;
 mod support;
--- a/tests/testsuite/replica.rs
+++ b/tests/testsuite/replica.rs
@@ -73,6 +73,7 @@
         group.nodes[second].stop().await;
         group.nodes[second].wipe();
         group.put(b"three").await;
+        group.applied(3).await;
         let entries = group.nodes[lost].machine.borrow().entries.clone();
         let entries: Vec<_> = entries.iter().map(|(_, entry)| entry.as_slice()).collect();
         assert_eq!(entries, [b"one".as_slice(), b"two".as_slice(), b"three".as_slice()]);
