--- /dev/null
+++ b/tests/testsuite/store.rs
@@ -0,0 +1,314 @@
+//! The data folder: what survives which fault, and what is refused.
+
+use std::sync;
+
+use bytes::Bytes;
+use hemlockcleat::core::consensus::entry;
+use hemlockcleat::core::ids;
+use hemlockcleat::store;
+use hemlockcleat::store::disk;
+use hemlockcleat::store::disk::Disk as _;
+use hemlockcleat::store::folder;
+use hemlockcleat::store::format;
+use hemlockcleat::store::inspect;
+
+use crate::store_disk;
+
+const REPLICA: ids::ReplicaKey = ids::ReplicaKey(1);
+const STORE: ids::StoreKey = ids::StoreKey(0x1122_3344);
+const SEGMENT: &str = "log-0000000001";
+
+fn open(disk: &store_disk::Memory) -> Result<(folder::Store, folder::Loaded), store::Error> {
+    folder::Store::open(sync::Arc::new(disk.clone()), REPLICA, STORE)
+}
+
+fn entries(indexes: std::ops::RangeInclusive<u64>, term: u64, size: usize) -> Vec<entry::Entry> {
+    let command = Bytes::from(vec![7; size]);
+    let entry = |index| entry::Entry {
+        index: ids::LogIndex(index),
+        term: ids::Term(term),
+        payload: entry::Payload::Command(command.clone()),
+    };
+    indexes.map(entry).collect()
+}
+
+fn batch(entries: Vec<entry::Entry>) -> entry::Batch {
+    entry::Batch { entries, ..entry::Batch::default() }
+}
+
+fn snapshot(index: u64, bytes: &[u8]) -> entry::Snapshot {
+    entry::Snapshot {
+        index: ids::LogIndex(index),
+        term: ids::Term(1),
+        membership: entry::Membership::default(),
+        length: bytes.len() as u64,
+        checksum: crc32fast::hash(bytes),
+    }
+}
+
+fn indexes(loaded: &folder::Loaded) -> Vec<u64> {
+    loaded.entries.iter().map(|entry| entry.index.0).collect()
+}
+
+/// A disk with entries 1 to 3, each synced by itself.
+fn three() -> store_disk::Memory {
+    let disk = store_disk::Memory::default();
+    let (mut store, _) = open(&disk).expect("a new store");
+    for index in 1..=3 {
+        store.write(&[batch(entries(index..=index, 1, 10))]).expect("a write");
+    }
+    disk
+}
+
+#[test]
+fn hard_state_survives() {
+    let disk = store_disk::Memory::default();
+    let (mut store, loaded) = open(&disk).expect("a new store");
+    let hard =
+        entry::Hard { group: Some(ids::GroupKey(5)), term: ids::Term(9), vote: Some(loaded.id) };
+    let change = entry::Batch { hard: Some(hard), ..entry::Batch::default() };
+    store.write(&[change]).expect("a write");
+    disk.lose_power(0);
+    let (_, loaded) = open(&disk).expect("a sound store");
+    assert_eq!(loaded.hard, hard);
+    assert_eq!(loaded.id, entry::Identity { replica: REPLICA, store: STORE });
+}
+
+#[test]
+fn truncation_survives() {
+    let disk = three();
+    let (mut store, _) = open(&disk).expect("a sound store");
+    let change = entry::Batch {
+        truncate: Some(ids::LogIndex(2)),
+        entries: entries(2..=4, 2, 5),
+        ..entry::Batch::default()
+    };
+    store.write(&[change]).expect("a write");
+    disk.lose_power(0);
+    let (_, loaded) = open(&disk).expect("a sound store");
+    let found: Vec<_> = loaded.entries.iter().map(|e| (e.index.0, e.term.0)).collect();
+    assert_eq!(found, [(1, 1), (2, 2), (3, 2), (4, 2)]);
+}
+
+/// Every length that a torn write can leave.
+#[test]
+fn torn_write_is_cut() {
+    for keep in 0..200 {
+        let disk = three();
+        let (mut store, _) = open(&disk).expect("a sound store");
+        disk.fail(store_disk::Faults { syncs: Some(0), ..Default::default() });
+        store.write(&[batch(entries(4..=6, 1, 30))]).expect_err("the sync fails");
+        store.write(&[batch(entries(4..=4, 1, 1))]).expect_err("the store is not used again");
+        disk.lose_power(keep);
+        let (mut store, loaded) = open(&disk).expect("a torn write is no corruption");
+        let found = indexes(&loaded);
+        assert!(found.len() >= 3 && found == (1..=found.len() as u64).collect::<Vec<_>>());
+        let next = found.len() as u64 + 1;
+        store.write(&[batch(entries(next..=next, 1, 10))]).expect("a write");
+        disk.lose_power(0);
+        let (_, loaded) = open(&disk).expect("a sound store");
+        assert_eq!(loaded.entries.len() as u64, next);
+    }
+}
+
+/// Every bit of what was synced counts: no change goes unnoticed, whether or not it lies in the
+/// last record.
+#[test]
+fn changed_byte_is_reported() {
+    let length = three().read(SEGMENT).expect("the segment").len();
+    let sealed = length - format::SEAL_BYTES;
+    for position in 0..sealed {
+        let disk = three();
+        disk.edit(SEGMENT, |bytes| bytes[position] ^= 0x40);
+        let refused = open(&disk).err();
+        let reported = matches!(
+            refused,
+            Some(store::Error::Corrupt(..) | store::Error::Newer(_) | store::Error::Foreign(_))
+        );
+        // A damaged seal between two sound records costs nothing.
+        let (found, loaded) = (refused.is_none(), open(&disk).ok());
+        let whole = loaded.is_some_and(|(_, loaded)| indexes(&loaded) == [1, 2, 3]);
+        assert!(reported || (found && whole), "byte {position}: {refused:?}");
+    }
+}
+
+#[test]
+fn full_disk_ends_the_store() {
+    let disk = three();
+    let (mut store, _) = open(&disk).expect("a sound store");
+    disk.fail(store_disk::Faults { room: Some(20), ..Default::default() });
+    let error = store.write(&[batch(entries(4..=4, 1, 100))]).expect_err("no room");
+    assert!(matches!(error, store::Error::Full(..)), "{error}");
+    let again = store.write(&[batch(entries(4..=4, 1, 1))]).expect_err("never the same file");
+    assert!(matches!(again, store::Error::Broken));
+    disk.lose_power(usize::MAX);
+    let (_, loaded) = open(&disk).expect("a sound store");
+    assert_eq!(indexes(&loaded), [1, 2, 3]);
+}
+
+/// A crash after any number of syncs while a snapshot is saved.
+#[test]
+fn snapshot_is_whole_or_absent() {
+    for syncs in 0..3 {
+        let disk = three();
+        let (mut store, _) = open(&disk).expect("a sound store");
+        disk.fail(store_disk::Faults { syncs: Some(syncs), ..Default::default() });
+        let saved = store.save(&snapshot(2, b"state"), b"state").is_ok();
+        disk.lose_power(3);
+        let (_, loaded) = open(&disk).expect("a sound store");
+        match loaded.snapshot {
+            Some((found, bytes)) => {
+                assert_eq!((found.index.0, bytes.as_ref()), (2, b"state".as_slice()));
+                assert_eq!(loaded.entries.last().map(|entry| entry.index.0), Some(3));
+            }
+            None => {
+                assert!(!saved);
+                assert_eq!(loaded.entries.len(), 3);
+            }
+        }
+    }
+}
+
+#[test]
+fn received_snapshot_replaces_the_log() {
+    let disk = three();
+    let (mut store, _) = open(&disk).expect("a sound store");
+    let install = entry::Batch {
+        snapshot: Some((snapshot(9, b"state"), Bytes::from_static(b"state"))),
+        truncate: Some(ids::LogIndex(1)),
+        ..entry::Batch::default()
+    };
+    store.write(&[install, batch(entries(10..=11, 1, 1))]).expect("a write");
+    disk.lose_power(0);
+    let (_, loaded) = open(&disk).expect("a sound store");
+    assert_eq!(indexes(&loaded), [10, 11]);
+}
+
+/// The process ends between the snapshot and the record that voids the log.
+#[test]
+fn received_snapshot_alone_replaces_the_log() {
+    let disk = three();
+    let (mut store, _) = open(&disk).expect("a sound store");
+    store.save(&snapshot(9, b"state"), b"state").expect("a snapshot");
+    disk.lose_power(0);
+    let (mut store, loaded) = open(&disk).expect("a sound store");
+    assert_eq!(indexes(&loaded), [0_u64; 0]);
+    store.write(&[batch(entries(10..=10, 1, 1))]).expect("a write");
+    let (_, loaded) = open(&disk).expect("a sound store");
+    assert_eq!(indexes(&loaded), [10]);
+}
+
+#[test]
+fn folder_stays_bounded() {
+    let disk = store_disk::Memory::default();
+    let (mut store, _) = open(&disk).expect("a new store");
+    for round in 0..40_u64 {
+        let first = round * 10 + 1;
+        store.write(&[batch(entries(first..=first + 9, 1, 100_000))]).expect("a write");
+        if round % 10 == 9 {
+            store.save(&snapshot(first + 9, b"state"), b"state").expect("a snapshot");
+        }
+        assert!(disk.size() as u64 <= 10_000_000 + 2 * store::SEGMENT_BYTES, "{}", disk.size());
+    }
+    let (_, loaded) = open(&disk).expect("a sound store");
+    assert!(loaded.snapshot.is_some_and(|(snapshot, _)| snapshot.index.0 == 400));
+}
+
+#[rstest::rstest]
+#[case::other_replica(|disk: &store_disk::Memory| {
+    let other = store_disk::Memory::default();
+    let opened = folder::Store::open(sync::Arc::new(other.clone()), ids::ReplicaKey(2), STORE);
+    opened.expect("a store of replica 2");
+    disk.put("store", &other.read("store").expect("a mark"));
+})]
+#[case::other_store(|disk: &store_disk::Memory| {
+    let other = store_disk::Memory::default();
+    let opened = folder::Store::open(sync::Arc::new(other.clone()), REPLICA, ids::StoreKey(9));
+    opened.expect("another store");
+    disk.put(SEGMENT, &other.read(SEGMENT).expect("a segment"));
+})]
+#[case::no_mark(|disk: &store_disk::Memory| disk.remove("store").expect("a mark"))]
+#[case::not_ours(|disk: &store_disk::Memory| {
+    disk.remove("store").expect("a mark");
+    disk.remove(SEGMENT).expect("a segment");
+    disk.put("holiday.jpg", b"...");
+})]
+fn foreign_folder_is_refused(#[case] change: fn(&store_disk::Memory)) {
+    let disk = three();
+    change(&disk);
+    let error = open(&disk).err().expect("a refusal");
+    assert!(matches!(error, store::Error::Foreign(_)), "{error}");
+}
+
+#[test]
+fn newer_format_is_refused() {
+    for file in ["store", SEGMENT] {
+        let disk = three();
+        disk.edit(file, |bytes| bytes[8] = 2);
+        let error = open(&disk).err().expect("a refusal");
+        assert!(matches!(error, store::Error::Newer(2)), "{error}");
+    }
+}
+
+#[test]
+fn missing_segment_is_reported() {
+    let disk = store_disk::Memory::default();
+    let (mut store, _) = open(&disk).expect("a new store");
+    for index in 1..=12 {
+        store.write(&[batch(entries(index..=index, 1, 1_000_000))]).expect("a write");
+    }
+    disk.remove("log-0000000002").expect("a segment");
+    let error = open(&disk).err().expect("a refusal");
+    assert!(matches!(error, store::Error::Corrupt(..)), "{error}");
+}
+
+#[test]
+fn folder_is_locked() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let first = disk::Folder::create(folder.path()).expect("a lock");
+    let error = disk::Folder::create(folder.path()).expect_err("it is in use");
+    assert!(matches!(error, store::Error::Locked(_)), "{error}");
+    drop(first);
+    disk::Folder::create(folder.path()).expect("a lock");
+}
+
+#[test]
+fn inspect_reports_without_change() {
+    let disk = three();
+    let before = disk.size();
+    let report = inspect::inspect(&disk).expect("a sound store");
+    assert_eq!((report.first, report.last.0), (Some(ids::LogIndex(1)), 3));
+    assert_eq!(disk.size(), before);
+}
+
+/// The bytes of a folder of format version 1.
+#[test]
+fn format_bytes_are_pinned() {
+    let disk = store_disk::Memory::default();
+    let (mut store, loaded) = open(&disk).expect("a new store");
+    let member = entry::Member { id: loaded.id, addr: "127.0.0.1:7000".to_owned(), voter: true };
+    let mut entries = entries(2..=2, 1, 3);
+    entries.insert(
+        0,
+        entry::Entry {
+            index: ids::LogIndex(1),
+            term: ids::Term(1),
+            payload: entry::Payload::Membership(entry::Membership::new(vec![member])),
+        },
+    );
+    let hard =
+        entry::Hard { group: Some(ids::GroupKey(6)), term: ids::Term(1), vote: Some(loaded.id) };
+    let truncate = Some(ids::LogIndex(2));
+    let first = entry::Batch { hard: Some(hard), entries, ..entry::Batch::default() };
+    let second = entry::Batch { truncate, ..entry::Batch::default() };
+    store.write(&[first, second]).expect("a write");
+    store.save(&snapshot(1, b"state"), b"state").expect("a snapshot");
+    for file in ["store", SEGMENT, "snapshot-00000000000000000001"] {
+        let bytes = disk.read(file).expect("the file");
+        let name = format!("{}/tests/samples/{file}", env!("CARGO_MANIFEST_DIR"));
+        if std::env::var_os("WRITE_SAMPLES").is_some() {
+            std::fs::write(&name, &bytes).expect("a sample");
+        }
+        assert_eq!(bytes, std::fs::read(&name).expect("a committed sample"), "{file}");
+    }
+}
