--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,1 +1,5 @@
 //! The operations behind the subcommands.
+
+pub mod check_settings;
+pub mod daemon;
+pub mod standin;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,7 +5,9 @@
 
 pub mod agent;
 pub mod codec;
+pub mod command;
 pub mod common;
 pub mod disk;
 pub mod entry;
+pub mod snapshot;
 pub mod peer;
