Hold the entry's HTTP interface against faulty clients, and bound slow readers

Cause: the contract was untested, and an answer of 8 MiB to a reader slower than control was asked for again every 16 chunks: the test with a client that reads nothing did not end within 60 s. Ruled out: waiting for the reader (one slow client would stop the session for all); a queue without a bound (1024 slow clients would hold 8 GiB). Change: replies waiting for a reader are counted in bytes, for each call and for all; only a crowded session cuts a call down to 256 KiB. The command runs the stand-in backend server. Before: the slow reader's test hung. Conclusion: a slow client holds a bounded buffer and loses its connection.

--- a/src/cli/error.rs
+++ b/src/cli/error.rs
@@ -67,6 +67,10 @@
         Demo(detail: String) {
             display("the demo failed: {}", detail)
         }
+        /// The stand-in backend server failed.
+        StandIn(detail: String) {
+            display("the stand-in failed: {}", detail)
+        }
         /// Anything of the system.
         System(source: std::io::Error) {
             display("{}", source)
@@ -96,7 +100,9 @@
             Error::Unanswered(_) => EXIT_MAY_HAVE_RUN,
             Error::Refused(_, refusal) => verdict_code(&refusal.verdict),
             Error::Pending(_) => EXIT_PENDING,
-            Error::Response(..) | Error::Demo(_) | Error::System(_) => EXIT_FAILED,
+            Error::Response(..) | Error::Demo(_) | Error::StandIn(_) | Error::System(_) => {
+                EXIT_FAILED
+            }
         }
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -16,6 +16,7 @@
 pub mod job;
 pub mod print;
 pub mod request;
+pub mod stand_in;
 pub mod status;
 pub mod ticket;
 pub mod worker;
@@ -85,6 +86,7 @@
         .subcommand(completions::cli())
         .subcommand(job::cli())
         .subcommand(request::cli())
+        .subcommand(stand_in::cli())
         .subcommand(status::cli())
         .subcommand(ticket::cli())
         .subcommand(worker::cli());
@@ -133,6 +135,7 @@
         Some(("completions", args)) => completions::exec(args),
         Some(("job", args)) => job::exec(&context, args).await,
         Some(("request", args)) => request::exec(&context, args).await,
+        Some(("stand-in", args)) => stand_in::exec(args).await,
         Some(("status", _)) => status::exec(&context).await,
         Some(("ticket", args)) => ticket::exec(&context, args).await,
         Some(("worker", args)) => worker::exec(&context, args).await,
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -8,23 +8,39 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::core::ledger::job;
 use crate::net::stream;
 use crate::wire::common;
 use crate::wire::entry as wire;
 
-/// Replies of one call that may wait to be read; a slower reader is cut off and asks again.
-const REPLY_QUEUE: usize = 16;
+/// Bytes of replies that one call may have waiting to be read.
+const CALL_BYTES: usize = job::MAX_ANSWER as usize + job::CHUNK;
 
-/// A stream to a replica that has welcomed this entry.
+/// Bytes of replies that all calls together may have waiting; beyond it each has
+/// [`SMALL_BYTES`].
+const TOTAL_BYTES: usize = 64 * 1024 * 1024;
+
+/// Bytes of replies that a call may have waiting however many there are.
+const SMALL_BYTES: usize = 4 * job::CHUNK;
+
+/// A stream to a replica that has proved to lead.
 pub struct Session {
     /// The replica's address.
     pub addr: net::SocketAddr,
     sender: stream::Sender<wire::Up>,
     next: cell::Cell<u64>,
-    waiting: cell::RefCell<BTreeMap<u64, mpsc::Sender<wire::Reply>>>,
+    waiting: cell::RefCell<BTreeMap<u64, Waiting>>,
+    queued: cell::Cell<usize>,
     open: watch::Sender<bool>,
 }
 
+/// A call that waits for replies.
+struct Waiting {
+    replies: mpsc::UnboundedSender<wire::Reply>,
+    /// Bytes that wait to be read; shared with the reader.
+    queued: rc::Rc<cell::Cell<usize>>,
+}
+
 impl Session {
     /// A session over an open stream.
     pub fn new(addr: net::SocketAddr, sender: stream::Sender<wire::Up>) -> Self {
@@ -33,6 +49,7 @@
             sender,
             next: cell::Cell::new(1),
             waiting: cell::RefCell::default(),
+            queued: cell::Cell::new(0),
             open: watch::Sender::new(true),
         }
     }
@@ -48,27 +65,41 @@
         }
         let id = self.next.get();
         self.next.set(id + 1);
-        let (sender, replies) = mpsc::channel(REPLY_QUEUE);
-        self.waiting.borrow_mut().insert(id, sender);
-        let exchange = Exchange { session: self.clone(), id, replies };
+        let (sender, replies) = mpsc::unbounded_channel();
+        let queued = rc::Rc::new(cell::Cell::new(0));
+        let waiting = Waiting { replies: sender, queued: queued.clone() };
+        self.waiting.borrow_mut().insert(id, waiting);
+        let exchange = Exchange { session: self.clone(), id, replies, queued };
         let sent = self.sender.send(&wire::Up::Call { id, trace, body }).await;
         sent.then_some(exchange)
     }
 
-    /// Hands a reply to its call. Replies to calls that nobody waits for are dropped.
+    /// Hands a reply to its call. Replies to calls that nobody waits for are dropped; a call whose
+    /// reader is too slow is cut off, and asks again from where it stands.
     pub fn deliver(&self, id: u64, reply: wire::Reply) {
-        let more = matches!(reply, wire::Reply::Chunk { last: false, .. });
         let mut waiting = self.waiting.borrow_mut();
-        let Some(sender) = waiting.get(&id) else { return };
-        let full = sender.try_send(reply).is_err();
-        if full || !more {
+        let Some(call) = waiting.get(&id) else { return };
+        let size = size(&reply);
+        let more = matches!(reply, wire::Reply::Chunk { last: false, .. });
+        let fits = self.fits(call.queued.get() + size, size);
+        if fits && call.replies.send(reply).is_ok() {
+            call.queued.set(call.queued.get() + size);
+            self.queued.set(self.queued.get() + size);
+        }
+        if !fits || !more {
             waiting.remove(&id);
         }
-        if full {
+        if !fits {
             self.sender.try_send(&wire::Up::Forget { id });
         }
     }
 
+    fn fits(&self, of_call: usize, size: usize) -> bool {
+        let crowded = self.queued.get() + size > TOTAL_BYTES;
+        let limit = if crowded { SMALL_BYTES } else { CALL_BYTES };
+        of_call <= limit
+    }
+
     /// Sends a message that is no call, if there is room.
     pub fn tell(&self, message: &wire::Up) -> bool {
         self.sender.try_send(message)
@@ -99,23 +130,41 @@
     }
 }
 
+/// What a reply counts for while it waits; only answers are long.
+fn size(reply: &wire::Reply) -> usize {
+    match reply {
+        wire::Reply::Chunk { bytes, .. } => bytes.len(),
+        _ => 0,
+    }
+}
+
 /// A call on its way. Dropping it tells control that no reply is wanted any more.
 pub struct Exchange {
     session: rc::Rc<Session>,
     id: u64,
-    replies: mpsc::Receiver<wire::Reply>,
+    replies: mpsc::UnboundedReceiver<wire::Reply>,
+    queued: rc::Rc<cell::Cell<usize>>,
 }
 
 impl Exchange {
     /// The next reply; none once the session has ended, the last reply was read, or this reader
     /// was too slow.
     pub async fn reply(&mut self) -> Option<wire::Reply> {
-        self.replies.recv().await
+        let reply = self.replies.recv().await?;
+        self.read(size(&reply));
+        Some(reply)
+    }
+
+    fn read(&self, size: usize) {
+        self.queued.set(self.queued.get() - size);
+        self.session.queued.set(self.session.queued.get() - size);
     }
 }
 
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.session.forget(self.id);
+        let unread = self.queued.get();
+        self.read(unread);
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,12 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
+mod agent;
 mod cli;
 mod entry;
+mod entry_contract;
 mod entry_faults;
+mod entry_page;
 mod gang;
-mod agent;
 mod lease;
 mod ledger;
 mod limit;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,8 +1,8 @@
 //! Fakes and helpers that several matters use.
 
+pub mod control;
 pub mod fake_control;
 pub mod http_client;
-pub mod control;
 pub mod plans;
 
 use std::future;
