--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,5 +7,7 @@
 pub mod codec;
 pub mod command;
 pub mod common;
+pub mod disk;
 pub mod entry;
+pub mod peer;
 pub mod snapshot;
