--- /dev/null
+++ b/src/cli/demo.rs
@@ -0,0 +1,14 @@
+//! `hemlockcleat demo`: a whole deployment on loopback in one process.
+
+use crate::cli::error;
+use crate::ops::demo;
+
+/// The subcommand's arguments.
+pub fn cli() -> clap::Command {
+    clap::Command::new("demo").about("Run a whole deployment on loopback and show its answers")
+}
+
+/// Runs the subcommand.
+pub async fn exec() -> Result<(), error::Error> {
+    demo::exec().await.map_err(|error| error::Error::Demo(error.to_string()))
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -12,6 +12,7 @@
 pub mod check_settings;
 pub mod client;
 pub mod completions;
+pub mod demo;
 pub mod error;
 pub mod job;
 pub mod print;
@@ -84,6 +85,7 @@
         .subcommand(account::cli())
         .subcommand(check_settings::cli())
         .subcommand(completions::cli())
+        .subcommand(demo::cli())
         .subcommand(job::cli())
         .subcommand(request::cli())
         .subcommand(stand_in::cli())
@@ -133,6 +135,7 @@
         Some(("account", args)) => account::exec(&context, args).await,
         Some(("check-settings", args)) => check_settings::exec(&context, args),
         Some(("completions", args)) => completions::exec(args),
+        Some(("demo", _)) => demo::exec().await,
         Some(("job", args)) => job::exec(&context, args).await,
         Some(("request", args)) => request::exec(&context, args).await,
         Some(("stand-in", args)) => stand_in::exec(args).await,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,18 +1,15 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
 mod agent;
-mod cli;
-mod entry;
-mod entry_contract;
-mod entry_faults;
-mod entry_page;
 mod agent_faults;
 mod agent_model;
 mod agent_state;
+mod cli;
 mod consensus;
 mod consensus_wire;
 mod consensus_world;
 mod entry;
+mod entry_contract;
 mod entry_faults;
 mod entry_page;
 mod gang;
@@ -21,8 +18,6 @@
 mod limit;
 mod placement;
 mod placement_random;
-mod settings;
-mod settings_examples;
 mod replica;
 mod replica_support;
 mod settings;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,6 +1,5 @@
 //! Fakes and helpers that several matters use.
 
-pub mod control;
 pub mod agent_bed;
 pub mod agent_control;
 pub mod agents;
