--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -50,7 +50,9 @@
     if !methods.contains(request.method()) {
         return not_allowed(methods);
     }
-    let hop = trace::Hop::start(name(&route), parent(&request));
+    let parent = parent(&request);
+    let Some(name) = name(&route) else { return public(state, route, request, parent).await };
+    let hop = trace::Hop::start(name, parent);
     let response = hop.run(answer(state, route, request, &hop)).await;
     hop.outcome(response.status().as_str());
     response
@@ -85,14 +87,32 @@
     response
 }
 
-/// The name of a route's span.
-fn name(route: &input::Route) -> &'static str {
+/// The name of a route's span; none for what anybody may read, however often.
+fn name(route: &input::Route) -> Option<&'static str> {
     match route {
-        input::Route::Page | input::Route::Hours => "entry.hours",
-        input::Route::Health | input::Route::Ready | input::Route::Metrics => "entry.probe",
-        input::Route::Request { .. } => "entry.request",
-        input::Route::Answer { .. } => "entry.answer",
-        _ => "entry.operator",
+        input::Route::Page
+        | input::Route::Hours
+        | input::Route::Health
+        | input::Route::Ready
+        | input::Route::Metrics => None,
+        input::Route::Request { .. } => Some("entry.request"),
+        input::Route::Answer { .. } => Some("entry.answer"),
+        _ => Some("entry.operator"),
+    }
+}
+
+async fn public(
+    state: &state::State,
+    route: input::Route,
+    request: http::Request,
+    trace: trace::Context,
+) -> http::Response {
+    match route {
+        input::Route::Page => public::page(state, request, trace).await,
+        input::Route::Hours => public::hours(state, request, trace).await,
+        input::Route::Ready => public::ready(state),
+        input::Route::Metrics => public::metrics(state),
+        _ => public::health(),
     }
 }
 
@@ -103,11 +123,6 @@
     hop: &trace::Hop,
 ) -> http::Response {
     match route {
-        input::Route::Page => public::page(state, request, hop).await,
-        input::Route::Hours => public::hours(state, request, hop).await,
-        input::Route::Health => public::health(),
-        input::Route::Ready => public::ready(state),
-        input::Route::Metrics => public::metrics(state),
         input::Route::Request { account, key } => {
             let target = caller::Target { account, key };
             match *request.method() {
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -125,6 +125,17 @@
     response
 }
 
+/// Counts a request that was answered: `done`, or the verdict of its refusal.
+fn count(outcome: &str) {
+    metrics::counter!(names::REQUESTS, "outcome" => outcome.to_owned()).increment(1);
+}
+
+/// Counts and answers a refusal by control.
+fn refused(refusal: &common::Refusal) -> http::Response {
+    count(&view::Refusal::from(refusal).verdict);
+    reply::refused_by_control(refusal)
+}
+
 /// Checks all but the body.
 fn admit(
     state: &state::State,
@@ -256,7 +267,7 @@
     let call = wire::Call::Submit(common::Spec::from(spec));
     let job = match state.link.call(&hop.context().into(), call, state.patience()).await {
         Ok(wire::Reply::Job(job)) if fits(&job, target) => job,
-        Ok(wire::Reply::Refused(refusal)) => return reply::refused_by_control(&refusal),
+        Ok(wire::Reply::Refused(refusal)) => return refused(&refusal),
         Ok(_) => return state::misfit("submit"),
         Err(lost) => {
             let refusal = honest(lost.refusal(), query);
@@ -297,7 +308,7 @@
 async fn wait(state: &state::State, target: &Target, wait: u64, hop: &trace::Hop) -> Waited {
     let wait = wait.min(state.limits.wait_ms);
     let patience = state.patience() + time::Duration::from_millis(wait);
-    let ask = state.ask(hop, target.fetch(wait), patience);
+    let ask = state.ask(hop.context(), target.fetch(wait), patience);
     let stopped = async {
         match wait {
             // An answer at once is no wait: it is worth finishing.
@@ -357,8 +368,11 @@
         Waited::Failed(response) => return response,
     };
     match &job.end {
-        Some(common::End::Done(meta)) => answer::respond(state, &target, &job, meta, hop),
-        Some(common::End::Refused(refusal)) => reply::refused_by_control(refusal),
+        Some(common::End::Done(meta)) => {
+            count("done");
+            answer::respond(state, &target, &job, meta, hop)
+        }
+        Some(common::End::Refused(refusal)) => refused(refusal),
         None => pending(&job),
     }
 }
@@ -390,7 +404,7 @@
     hop: &trace::Hop,
 ) -> http::Response {
     let call = wire::Call::Cancel { account: target.account.clone(), key: target.key.clone() };
-    match state.ask(hop, call, state.patience()).await {
+    match state.ask(hop.context(), call, state.patience()).await {
         Ok(wire::Reply::Job(job)) => reply::json(StatusCode::OK, &view::Job::from(&job)),
         Ok(_) => state::misfit("cancel"),
         Err(response) => response,
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -77,7 +77,7 @@
     let ticket = ticket(state, &mut request).await?;
     let (number, digest) = (ticket.number.0, document::hex(&ticket.digest));
     let call = wire::Call::Ticket(common::Ticket::from(ticket));
-    match state.ask(hop, call, state.patience()).await? {
+    match state.ask(hop.context(), call, state.patience()).await? {
         wire::Reply::Ticket { revision } => ok(&view::Accepted { number, digest, revision }),
         _ => Err(state::misfit("ticket")),
     }
@@ -92,7 +92,7 @@
 }
 
 async fn config(state: &state::State, hop: &trace::Hop) -> Result<account::Config, http::Response> {
-    match state.ask(hop, wire::Call::Config, state.patience()).await? {
+    match state.ask(hop.context(), wire::Call::Config, state.patience()).await? {
         wire::Reply::Config(config) => {
             account::Config::try_from(config).map_err(|_| state::misfit("config"))
         }
@@ -101,7 +101,7 @@
 }
 
 async fn group(state: &state::State, hop: &trace::Hop) -> Result<wire::Status, http::Response> {
-    match state.ask(hop, wire::Call::Status, state.patience()).await? {
+    match state.ask(hop.context(), wire::Call::Status, state.patience()).await? {
         wire::Reply::Status(status) => Ok(status),
         _ => Err(state::misfit("status")),
     }
@@ -109,7 +109,7 @@
 
 /// `GET /v1/tickets/{number}`: what became of a ticket's number.
 pub async fn ticket_record(state: &state::State, number: u64, hop: &trace::Hop) -> Answer {
-    match state.ask(hop, wire::Call::TicketShow(number), state.patience()).await? {
+    match state.ask(hop.context(), wire::Call::TicketShow(number), state.patience()).await? {
         wire::Reply::TicketRecord(record) => ok(&view::TicketRecord::from(&record)),
         _ => Err(state::misfit("ticket record")),
     }
@@ -138,7 +138,7 @@
 
 /// `GET /v1/workers`.
 pub async fn workers(state: &state::State, hop: &trace::Hop) -> Answer {
-    match state.ask(hop, wire::Call::Workers, state.patience()).await? {
+    match state.ask(hop.context(), wire::Call::Workers, state.patience()).await? {
         wire::Reply::Workers(workers) => {
             ok(&Workers { workers: workers.iter().map(view::Worker::from).collect() })
         }
@@ -154,7 +154,7 @@
         return Err(bad(format!("limit: must be 1 to {JOBS_LIMIT}")));
     }
     let call = wire::Call::Jobs { account: query.account, limit };
-    match state.ask(hop, call, state.patience()).await? {
+    match state.ask(hop.context(), call, state.patience()).await? {
         wire::Reply::Jobs(jobs) => ok(&Jobs { jobs: jobs.iter().map(view::Job::from).collect() }),
         _ => Err(state::misfit("jobs")),
     }
@@ -165,7 +165,7 @@
     number: u64,
     hop: &trace::Hop,
 ) -> Result<wire::Job, http::Response> {
-    match state.ask(hop, wire::Call::JobShow(number), state.patience()).await? {
+    match state.ask(hop.context(), wire::Call::JobShow(number), state.patience()).await? {
         wire::Reply::Job(job) if job.job == number => Ok(job),
         _ => Err(state::misfit("job")),
     }
--- a/src/entry/public.rs
+++ b/src/entry/public.rs
@@ -53,9 +53,9 @@
 pub async fn page(
     state: &state::State,
     request: http::Request,
-    hop: &trace::Hop,
+    trace: trace::Context,
 ) -> http::Response {
-    let shown = match shown(state, &request, hop).await {
+    let shown = match shown(state, &request, trace).await {
         Ok(shown) => shown,
         Err(response) => return response,
     };
@@ -73,9 +73,9 @@
 pub async fn hours(
     state: &state::State,
     request: http::Request,
-    hop: &trace::Hop,
+    trace: trace::Context,
 ) -> http::Response {
-    let shown = match shown(state, &request, hop).await {
+    let shown = match shown(state, &request, trace).await {
         Ok(shown) => shown,
         Err(response) => return response,
     };
@@ -92,12 +92,12 @@
 async fn shown(
     state: &state::State,
     request: &http::Request,
-    hop: &trace::Hop,
+    trace: trace::Context,
 ) -> Result<Shown, http::Response> {
     let query: Query = input::query(request).map_err(|refusal| reply::refused(&refusal))?;
     match (query.from, query.until) {
         (None, None) => Ok(copy(state)),
-        (Some(from), Some(until)) => look_up(state, from, until, hop).await,
+        (Some(from), Some(until)) => look_up(state, from, until, trace).await,
         _ => Err(bad("from and until: give both or none")),
     }
 }
@@ -121,7 +121,7 @@
     state: &state::State,
     from: u64,
     until: u64,
-    hop: &trace::Hop,
+    trace: trace::Context,
 ) -> Result<Shown, http::Response> {
     let limit = hours::SPAN_LIMIT;
     let span = hours::Span::checked(from, until)
@@ -132,7 +132,7 @@
         return Err(reply::refused(&refusal));
     };
     let call = wire::Call::Hours { from: span.from.0, until: span.until.0 };
-    match state.ask(hop, call, LOOKUP_PATIENCE).await? {
+    match state.ask(trace, call, LOOKUP_PATIENCE).await? {
         wire::Reply::Hours(hours) => Ok(Shown {
             services: hours::rows(&hours, span),
             as_of: Some(core_time::Wall(hours.as_of)),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -102,11 +102,11 @@
     /// Calls control once and turns failures into responses.
     pub async fn ask(
         &self,
-        hop: &trace::Hop,
+        trace: trace::Context,
         call: wire::Call,
         patience: time::Duration,
     ) -> Result<wire::Reply, http::Response> {
-        let reply = self.link.call(&hop.context().into(), call, patience).await;
+        let reply = self.link.call(&trace.into(), call, patience).await;
         match reply {
             Ok(wire::Reply::Refused(refusal)) => Err(reply::refused_by_control(&refusal)),
             Ok(reply) => Ok(reply),
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -64,10 +64,9 @@
 
 #[test]
 fn entry_unreachable() {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let url = format!("http://{}", listener.local_addr().expect("an address"));
-    drop(listener);
-    let output = command("t", &["--entry", &url, "status"]).output().expect("the program runs");
+    // The system never hands this port out, so no other test can listen there.
+    let url = "http://127.0.0.1:1";
+    let output = command("t", &["--entry", url, "status"]).output().expect("the program runs");
     assert_eq!(output.status.code(), Some(6));
     assert!(text(&output.stderr).contains("can't reach the entry"));
 }
--- a/tests/testsuite/entry.rs
+++ b/tests/testsuite/entry.rs
@@ -110,3 +110,35 @@
         assert!(control.shared.calls.borrow().is_empty());
     });
 }
+
+#[rstest]
+#[case::sound("00-000000000000000000000000000000aa-00000000000000bb-01", Some(0xaa))]
+#[case::malformed("00-aa-bb-01", None)]
+fn trace_passed_on(#[case] traceparent: &str, #[case] trace: Option<u128>) {
+    with_entry(async |control, entry| {
+        let body = submission().to_string();
+        let text = format!(
+            "PUT {REQUEST} HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\
+             authorization: Bearer {}\r\ntraceparent: {traceparent}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            fake_control::TOKEN,
+            body.len()
+        );
+        let reply = http_client::raw(entry.addr(), text.as_bytes()).await.expect("a response");
+        assert_eq!(reply.status, 202);
+        let seen = control.shared.traces.borrow()[0];
+        assert_ne!(seen, 0, "a request without a trace gets a new one");
+        assert!(trace.is_none_or(|trace| trace == seen));
+    });
+}
+
+#[test]
+fn metrics_rendered() {
+    hemlockcleat::telemetry::metrics::start();
+    with_entry(async |_, entry| {
+        let text = get(entry, "/metrics").await;
+        let text = String::from_utf8(text.body).expect("text");
+        assert!(text.contains("hemlockcleat_control_reachable 1"), "{text}");
+        assert!(text.contains("hemlockcleat_http_responses_total{status=\"200\"}"), "{text}");
+    });
+}
--- a/tests/testsuite/entry_faults.rs
+++ b/tests/testsuite/entry_faults.rs
@@ -348,3 +348,29 @@
         control.stop().await;
     });
 }
+
+#[test]
+fn refusals_reported_again_until_stored() {
+    cases::with_entry(async |control, entry| {
+        control.shared.confirms.set(false);
+        let mut config = fake_control::config(2);
+        config.accounts = vec![fake_control::account("swan-coast", 0)];
+        control.shared.config.send_replace(config);
+        let refused = async || cases::submit(entry, cases::REQUEST).await.status == 429;
+        while !refused().await {}
+        let seen = async |count: usize| {
+            while control.shared.refusals.borrow().len() < count {
+                tokio::time::sleep(time::Duration::from_millis(10)).await;
+            }
+            control.shared.refusals.borrow()[count - 1].clone()
+        };
+        let first = seen(1).await;
+        assert!(refused().await);
+        assert_eq!(seen(2).await, first, "the open report is sent again as it was");
+        control.shared.confirms.set(true);
+        let wire::Up::Refusals { sequence, counts } = seen(4).await else {
+            panic!("no report");
+        };
+        assert_eq!((sequence, counts[0].2), (2, 1));
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod entry_contract;
 mod entry_faults;
 mod entry_page;
+mod entry_process;
 mod gang;
 mod lease;
 mod ledger;
--- a/tests/testsuite/support/fake_control.rs
+++ b/tests/testsuite/support/fake_control.rs
@@ -34,6 +34,10 @@
     pub answers: cell::RefCell<BTreeMap<(String, String), Vec<u8>>>,
     /// Every call seen, but for those that the entry makes by itself.
     pub calls: cell::RefCell<Vec<wire::Call>>,
+    /// The trace of each submission.
+    pub traces: cell::RefCell<Vec<u128>>,
+    /// Whether reports of refusals are confirmed.
+    pub confirms: cell::Cell<bool>,
     /// The reports of refusals seen.
     pub refusals: cell::RefCell<Vec<wire::Up>>,
     /// Whether it leads; followers name this leader.
@@ -99,6 +103,8 @@
             jobs: cell::RefCell::default(),
             answers: cell::RefCell::default(),
             calls: cell::RefCell::default(),
+            traces: cell::RefCell::default(),
+            confirms: cell::Cell::new(true),
             refusals: cell::RefCell::default(),
             leader: cell::RefCell::default(),
             leads: cell::Cell::new(true),
@@ -188,7 +194,10 @@
             wire::Up::Hello { .. } => {
                 sender.send(&wire::Down::Welcome { replica: 1 }).await;
             }
-            wire::Up::Call { id, body, .. } => {
+            wire::Up::Call { id, body, trace } => {
+                if let wire::Call::Submit(_) = body {
+                    shared.traces.borrow_mut().push(trace.trace);
+                }
                 if !matches!(body, wire::Call::Config | wire::Call::Hours { .. }) {
                     shared.calls.borrow_mut().push(body.clone());
                 }
@@ -205,6 +214,9 @@
             wire::Up::Forget { .. } => {}
             wire::Up::Refusals { sequence, .. } => {
                 shared.refusals.borrow_mut().push(message);
+                if !shared.confirms.get() {
+                    continue;
+                }
                 sender.send(&wire::Down::RefusalsStored { sequence }).await;
             }
         }
