--- a/src/agent/state/gangs.rs
+++ b/src/agent/state/gangs.rs
@@ -8,6 +8,7 @@
 use crate::agent::state::task;
 use crate::core::ids;
 use crate::core::time;
+use crate::telemetry::event;
 use crate::wire::agent;
 
 /// How long after the worker began to leave a prepared attempt may still start.
@@ -24,7 +25,12 @@
 impl State {
     pub(super) fn prepare(&mut self, now: time::Tick, prepare: agent::Prepare, out: &mut Out) {
         let attempt = prepare.attempt.clone();
+        let key = ids::AttemptKey::from(attempt.clone());
         let refusal = self.check_prepare(now, prepare).err();
+        if let Some(detail) = &refusal {
+            let details = format!("attempt={key} reason={detail:?}");
+            out.push(step::Output::Log(event::agent::PREPARE_REFUSED, details));
+        }
         let ok = refusal.is_none();
         let detail = refusal.unwrap_or_default();
         out.push(step::Output::Send(agent::Up::Prepared { attempt, ok, detail }));
--- a/src/telemetry/event/agent.rs
+++ b/src/telemetry/event/agent.rs
@@ -15,6 +15,7 @@
     LEAVING,
     CUT_SHORT,
     SWEEP_FAILED,
+    PREPARE_REFUSED,
 ];
 
 /// A session with the leading control replica stands.
@@ -39,3 +40,5 @@
 pub const CUT_SHORT: Event = Event::new(509, log::Level::Warn, "planned stop out of time");
 /// The backend server's tasks could not be listed or stopped; tried again.
 pub const SWEEP_FAILED: Event = Event::new(510, log::Level::Warn, "unknown tasks not cleared");
+/// A preparation was refused; control looks for another place.
+pub const PREPARE_REFUSED: Event = Event::new(511, log::Level::Info, "preparation refused");
