Leave a silent leader in time, and run the agent as a process under faults

Cause: a session whose peer was cut off without a sign stayed open for as long as TCP tries, past the lease, so that a lost leader cost every running gang. Ruled out: a shorter TCP timeout (the library has no setting for it, and it says nothing about a frozen leader); a second message for liveness (heartbeats are answered already). Change: the agent drops a session on which heartbeats or announcements go unanswered for 2 s, and does not follow a hint back to a replica that was just out of reach. Before: with the relay cut the agent stayed on the dead session. After: it goes on under the next leader before its lease ends (agent_finds_the_next_leader_before_its_lease_ends). Conclusion: a leader lost without a sign costs no gang while another one stands within the lease.

--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -9,6 +9,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::agent::answers;
 use crate::agent::backend;
@@ -83,6 +84,8 @@
     waiting: Vec<Waiting>,
     view: rc::Rc<cell::RefCell<View>>,
     revision: rc::Rc<cell::Cell<u64>>,
+    /// Where the number of a session that is to be dropped goes.
+    dropped: watch::Sender<u64>,
     /// How long a planned stop lets tasks run.
     drain: core_time::Millis,
     /// When the planned stop is out of time.
@@ -98,6 +101,7 @@
         drain: core_time::Millis,
         view: rc::Rc<cell::RefCell<View>>,
         revision: rc::Rc<cell::Cell<u64>>,
+        dropped: watch::Sender<u64>,
     ) -> Self {
         Self {
             clock: clock::Clock::start(),
@@ -111,6 +115,7 @@
             waiting: Vec::new(),
             view,
             revision,
+            dropped,
             drain,
             cut: None,
             end: None,
@@ -228,6 +233,9 @@
         match output {
             state::Output::Send(message) => self.send(&message),
             state::Output::Deliver { attempt, meta } => self.deliver(attempt, meta),
+            state::Output::Reconnect => {
+                self.dropped.send_replace(self.sessions);
+            }
             state::Output::Log(event, details) => event.log(format_args!("{details}")),
             output => {
                 if let Some((_, client)) = &self.client {
@@ -325,7 +333,10 @@
                 None
             }
             state::Output::Sweep { keep } => Some(state::Input::Swept(client.sweep(&keep).await)),
-            state::Output::Send(_) | state::Output::Deliver { .. } | state::Output::Log(..) => None,
+            state::Output::Send(_)
+            | state::Output::Deliver { .. }
+            | state::Output::Reconnect
+            | state::Output::Log(..) => None,
         }
     })
 }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -67,6 +67,7 @@
         let (calls, called) = mpsc::channel(QUEUE);
         let (notes, noted) = mpsc::channel(QUEUE);
         let (hush, hushed) = watch::channel(false);
+        let (drops, dropped) = watch::channel(0);
         let view = rc::Rc::new(cell::RefCell::new(driver::View::default()));
         let revision = rc::Rc::new(cell::Cell::new(0));
         let handler = server::Handler { calls: calls.clone(), view: view.clone() };
@@ -81,9 +82,10 @@
             revision: revision.clone(),
             notes,
             stop: hushed,
+            dropped,
         };
         let drain = core_time::Millis::from_secs(settings.drain_secs);
-        let driver = driver::Driver::new(incarnation, drain, view, revision);
+        let driver = driver::Driver::new(incarnation, drain, view, revision, drops);
         Ok(Self {
             server,
             calls,
--- a/src/agent/session.rs
+++ b/src/agent/session.rs
@@ -16,6 +16,13 @@
 /// The path of an agent's stream.
 const PATH: &str = "/agent";
 
+/// How long connecting may take.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// How long a replica that could not be reached, or fell silent, is not gone to on the word of
+/// another one that still takes it for the leader.
+const AVOID: time::Duration = time::Duration::from_secs(3);
+
 /// How long the replica may take to welcome the agent or to send it on.
 const WELCOME_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
@@ -55,14 +62,18 @@
     pub notes: mpsc::Sender<Note>,
     /// Set once the agent has nothing more to say.
     pub stop: watch::Receiver<bool>,
+    /// The number of the last session that is to be dropped, because nothing comes on it.
+    pub dropped: watch::Receiver<u64>,
 }
 
 /// Why a session did not come about, or ended.
 enum End {
     /// Another replica is said to lead.
     Hint(net::SocketAddr),
-    /// The replica can't be reached, does not lead, or has closed the session.
+    /// The replica does not lead, or has closed the session.
     Closed,
+    /// The replica can't be reached, or nothing came from it any more.
+    Silent,
     /// The agent is stopping.
     Stopping,
 }
@@ -73,24 +84,26 @@
         let mut next = 0;
         let mut hint = None;
         let mut hints = 0;
+        let mut sessions = 0;
         let mut pause = PAUSE_MIN;
+        let mut avoided = Avoided::default();
         loop {
             let addr = hint.take().unwrap_or(self.control[next % self.control.len()]);
-            let (end, lasted) = self.visit(addr).await;
-            if lasted {
-                (pause, hints) = (PAUSE_MIN, 0);
-            }
-            match end {
+            let held = sessions;
+            match self.visit(addr, &mut sessions).await {
                 End::Stopping => return,
-                End::Hint(leader) if hints < HINTS => {
+                End::Hint(leader) if hints < HINTS && !avoided.holds(leader) => {
                     hints += 1;
                     hint = Some(leader);
                     continue;
                 }
-                End::Hint(_) | End::Closed => {
-                    hints = 0;
-                    next += 1;
-                }
+                End::Silent => avoided.insert(addr),
+                End::Hint(_) | End::Closed => {}
+            }
+            hints = 0;
+            next += 1;
+            if sessions > held {
+                pause = PAUSE_MIN;
             }
             if self.rest(pause).await {
                 return;
@@ -109,19 +122,14 @@
         }
     }
 
-    /// Holds a session with the replica at `addr`; also tells whether there was one.
-    async fn visit(&mut self, addr: net::SocketAddr) -> (End, bool) {
+    /// Holds a session with the replica at `addr`, and counts it if there is one.
+    async fn visit(&mut self, addr: net::SocketAddr, sessions: &mut u64) -> End {
+        let connect = stream::connect::<agent::Up, agent::Down>(addr, PATH);
         let opened = tokio::select! {
-            opened = stream::connect::<agent::Up, agent::Down>(addr, PATH) => opened,
-            _ = self.stop.wait_for(|stop| *stop) => return (End::Stopping, false),
-        };
-        let (sender, mut receiver, connection) = match opened {
-            Ok(opened) => opened,
-            Err(error) => {
-                tracing::debug!(%addr, %error, "control replica not reached");
-                return (End::Closed, false);
-            }
+            opened = tokio::time::timeout(CONNECT_TIMEOUT, connect) => opened,
+            _ = self.stop.wait_for(|stop| *stop) => return End::Stopping,
         };
+        let Ok(Ok((sender, mut receiver, connection))) = opened else { return End::Silent };
         let hello = agent::Up::Hello {
             version: codec::VERSION,
             cell: self.cell,
@@ -132,26 +140,29 @@
         let welcome = tokio::time::timeout(WELCOME_TIMEOUT, receiver.receive()).await;
         match welcome {
             Ok(Some(agent::Down::Welcome { .. })) => {}
-            Ok(Some(agent::Down::NotLeader { leader })) => return (hinted(leader), false),
-            _ => return (End::Closed, false),
+            Ok(Some(agent::Down::NotLeader { leader })) => return hinted(leader),
+            Ok(_) => return End::Closed,
+            Err(_) => return End::Silent,
         }
+        *sessions += 1;
         event::agent::CONNECTED.log(format_args!("control={addr}"));
         let _ = self.notes.send(Note::Up(sender.clone())).await;
-        let end = self.serve(&mut receiver).await;
+        let end = self.serve(*sessions, &mut receiver).await;
         let _ = self.notes.send(Note::Ended).await;
         event::agent::DISCONNECTED.log(format_args!("control={addr}"));
         if matches!(end, End::Stopping) {
             close(sender, &mut receiver).await;
         }
         drop(connection);
-        (end, true)
+        end
     }
 
-    async fn serve(&mut self, receiver: &mut stream::Receiver<agent::Down>) -> End {
+    async fn serve(&mut self, session: u64, receiver: &mut stream::Receiver<agent::Down>) -> End {
         loop {
             let message = tokio::select! {
                 message = receiver.receive() => message,
                 _ = self.stop.wait_for(|stop| *stop) => return End::Stopping,
+                _ = self.dropped.wait_for(|dropped| *dropped >= session) => return End::Silent,
             };
             match message {
                 Some(agent::Down::NotLeader { leader }) => return hinted(leader),
@@ -166,6 +177,20 @@
     }
 }
 
+/// The replica that was last out of reach.
+#[derive(Default)]
+struct Avoided(Option<(net::SocketAddr, time::Instant)>);
+
+impl Avoided {
+    fn insert(&mut self, addr: net::SocketAddr) {
+        self.0 = Some((addr, time::Instant::now()));
+    }
+
+    fn holds(&self, addr: net::SocketAddr) -> bool {
+        self.0.is_some_and(|(avoided, since)| avoided == addr && since.elapsed() < AVOID)
+    }
+}
+
 fn hinted(leader: Option<String>) -> End {
     let addr = leader.and_then(|text| text.parse().ok());
     addr.map_or(End::Closed, End::Hint)
--- a/src/agent/state/mod.rs
+++ b/src/agent/state/mod.rs
@@ -38,6 +38,9 @@
 /// How soon a backend server is to repeat its announcement.
 pub const REPEAT: time::Millis = time::Millis(500);
 
+/// How long the leader may leave heartbeats and announcements unanswered.
+pub const SESSION_SILENCE: time::Millis = time::Millis::from_secs(2);
+
 /// How long the agent waits for a registration before it announces the worker again.
 const ANNOUNCE_RESEND: time::Millis = time::Millis::from_secs(2);
 
@@ -76,6 +79,8 @@
     /// Whether the lease was valid when last looked at.
     leased: bool,
     connected: bool,
+    /// Since when something that was said has gone unanswered.
+    unanswered: Option<time::Tick>,
     revision: ids::Revision,
     backend: Option<Backend>,
     presence: Presence,
@@ -107,6 +112,7 @@
             first_epoch: None,
             leased: false,
             connected: false,
+            unanswered: None,
             revision: ids::Revision(0),
             backend: None,
             presence: Presence::Absent,
@@ -192,6 +198,7 @@
 
     fn connected(&mut self, now: time::Tick, out: &mut Out) {
         self.connected = true;
+        self.unanswered = None;
         self.announce = true;
         self.beat(now, out);
         self.report_all(now, out);
@@ -199,10 +206,12 @@
 
     fn disconnected(&mut self) {
         self.connected = false;
+        self.unanswered = None;
         self.awaiting = None;
     }
 
     fn down(&mut self, now: time::Tick, down: agent::Down, out: &mut Out) {
+        self.unanswered = None;
         match down {
             agent::Down::Welcome { .. } | agent::Down::NotLeader { .. } => {}
             agent::Down::Registered { epoch, .. } => self.registered(now, ids::Epoch(epoch), out),
@@ -288,6 +297,7 @@
         }
         self.announce = false;
         self.awaiting = Some(now);
+        self.unanswered.get_or_insert(now);
         let leaving = self.leaving.is_some();
         out.push(step::Output::Send(agent::Up::Announce { spec: backend.spec.clone(), leaving }));
     }
@@ -322,6 +332,7 @@
 
     fn tick(&mut self, now: time::Tick, out: &mut Out) {
         self.check_silence(now, out);
+        self.check_session(now, out);
         if let Presence::Unswept(until) = self.presence
             && now >= until
         {
@@ -344,12 +355,23 @@
         self.lose_all(now, "the backend server fell silent", out);
     }
 
+    /// Drops a session on which nothing is answered: the leader, or the way to it, may be gone
+    /// without a sign, and the lease leaves time to find the next one.
+    fn check_session(&mut self, now: time::Tick, out: &mut Out) {
+        let silent = self.unanswered.is_some_and(|since| now - since >= SESSION_SILENCE);
+        if self.connected && silent {
+            self.disconnected();
+            out.push(step::Output::Reconnect);
+        }
+    }
+
     /// Asks for the lease to be renewed, where there is one to renew.
     fn beat(&mut self, now: time::Tick, out: &mut Out) {
         if !self.connected || self.holder.fenced() {
             return;
         }
         self.beaten = now;
+        self.unanswered.get_or_insert(now);
         let sequence = self.holder.heartbeat(now);
         let attempts = self.members.keys().map(|attempt| (*attempt).into()).collect();
         let usage = self.backend.as_ref().map(|backend| backend.usage).unwrap_or_default();
--- a/src/agent/state/step.rs
+++ b/src/agent/state/step.rs
@@ -111,6 +111,8 @@
             /// The tasks that are known.
             keep: Vec<contract::TaskKey>,
         },
+        /// Drop the session and look for the leader again: nothing comes on it any more.
+        Reconnect,
         /// Log an event.
         Log(event::Event, String),
     }
--- a/tests/testsuite/agent.rs
+++ b/tests/testsuite/agent.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use hemlockcleat::core::lease;
+use hemlockcleat::standin;
 use hemlockcleat::standin::options;
 use hemlockcleat::standin::record;
 use hemlockcleat::wire::agent;
@@ -14,6 +15,7 @@
 use crate::support::agent_bed::Bed;
 use crate::support::agent_control;
 use crate::support::http_client;
+use crate::support::relay;
 
 /// A run time that no test waits for.
 const LONG: u64 = 600_000;
@@ -108,6 +110,45 @@
     });
 }
 
+#[test]
+fn agent_finds_the_next_leader_before_its_lease_ends() {
+    support::run(async {
+        let first = agent_control::Control::start().await;
+        let second = agent_control::Control::start().await;
+        let relay = relay::Relay::start(first.addr()).await;
+        // The second replica goes on naming the first one for a while after it was cut off.
+        second.with(|inner| inner.redirect = Some(relay.addr().to_string()));
+        let control = vec![relay.addr(), second.addr()];
+        let agent = agent_bed::start_agent(agent_bed::any_port(), control).await;
+        let options = options::Options::new(agent.addr(), "w1", "r1");
+        let standin = standin::Standin::start(options).await.expect("a stand-in");
+        first.leased().await;
+        let bed = Bed { control: first, agent, standin };
+        bed.begin(agent_bed::prepare(1, 2, 6000)).await;
+        bed.control.started(&agent_bed::attempt(1)).await;
+        relay.cut();
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        second.with(|inner| inner.redirect = None);
+        let result = second.ended(&agent_bed::attempt(1)).await;
+        agent_bed::answer(&second, &result);
+        assert_eq!(agent_bed::ends(&bed.standin), [Some(record::End::Done); 2]);
+        relay.stop().await;
+        second.stop().await;
+        bed.stop().await;
+    });
+}
+
+#[test]
+fn agent_planned_stop_at_rest_says_so() {
+    support::run(async {
+        let bed = Bed::start(options::Switches::default()).await;
+        bed.agent.stop().await;
+        bed.control.announced(true).await;
+        bed.standin.stop().await;
+        bed.control.stop().await;
+    });
+}
+
 #[test]
 fn agent_lease_end_stops_tasks_before_control_gives_up() {
     support::run(async {
--- a/tests/testsuite/agent_state.rs
+++ b/tests/testsuite/agent_state.rs
@@ -458,6 +458,21 @@
     assert_eq!(bench.state.occupied(), 2);
 }
 
+#[rstest]
+#[case::just_in_time(1900, false)]
+#[case::too_late(2100, true)]
+fn silent_leader_is_left(#[case] millis: u64, #[case] left: bool) {
+    let mut bench = Bench::new();
+    bench.run();
+    bench.tick(1000);
+    bench.now += millis;
+    bench.announce(false);
+    bench.tick(0);
+    assert_eq!(bench.out.contains(&state::Output::Reconnect), left);
+    // The lease goes on meanwhile.
+    assert_eq!(bench.stops(), 0);
+}
+
 #[test]
 fn silent_backend_is_given_up() {
     let mut bench = Bench::new();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod agent_faults;
 mod agent_model;
+mod agent_process;
 mod agent_state;
 mod entry;
 mod entry_faults;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -3,9 +3,11 @@
 pub mod agent_bed;
 pub mod agent_control;
 pub mod agents;
+pub mod daemon;
 pub mod fake_control;
 pub mod http_client;
 pub mod plans;
+pub mod relay;
 
 use std::future;
 
