Wait until a leader has noted a planned stop

Ruled out: a longer wait while closing the session (it says nothing about a session that is just being sought). Change: the stop waits, for up to 5 s, until the announcement is answered. Conclusion: control knows of a planned stop before the agent ends, while a leader can be reached.

--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -30,6 +30,9 @@
 /// How long the answer to an announcement may wait for a lease.
 const LEND_WAIT: core_time::Millis = core_time::Millis(400);
 
+/// How long a planned stop without tasks waits for a leader to take note of it.
+const LEAVE_WAIT: core_time::Millis = core_time::Millis::from_secs(5);
+
 /// How long tasks may take to checkpoint when a planned stop is out of time.
 const CUT_GRACE: core_time::Millis = core_time::Millis::from_secs(5);
 
@@ -88,6 +91,8 @@
     dropped: watch::Sender<u64>,
     /// How long a planned stop lets tasks run.
     drain: core_time::Millis,
+    /// Until when a planned stop waits to be taken note of.
+    leave: core_time::Tick,
     /// When the planned stop is out of time.
     cut: Option<core_time::Tick>,
     /// When the planned stop ends whatever is left.
@@ -117,6 +122,7 @@
             revision,
             dropped,
             drain,
+            leave: core_time::Tick(0),
             cut: None,
             end: None,
         }
@@ -150,7 +156,8 @@
     fn done(&mut self) -> bool {
         let now = self.clock.tick();
         let Some(cut) = self.cut else { return false };
-        if self.state.idle() || self.end.is_some_and(|end| now >= end) {
+        let noted = self.state.settled() || now >= self.leave;
+        if (self.state.idle() && noted) || self.end.is_some_and(|end| now >= end) {
             return true;
         }
         if now >= cut && self.end.is_none() {
@@ -165,7 +172,9 @@
         match call {
             Call::Announce(announcement, reply) => self.announce(announcement, reply),
             Call::Stop => {
-                self.cut = Some(self.clock.tick() + self.drain);
+                let now = self.clock.tick();
+                self.leave = now + LEAVE_WAIT;
+                self.cut = Some(now + self.drain);
                 self.step(state::Input::Leave);
             }
         }
--- a/src/agent/state/mod.rs
+++ b/src/agent/state/mod.rs
@@ -169,11 +169,17 @@
         self.revision
     }
 
-    /// Whether nothing is left that control has not taken note of.
+    /// Whether every attempt has ended, and control has stored its end.
     pub fn idle(&self) -> bool {
         self.members.is_empty()
     }
 
+    /// Whether the leader has taken note of the worker as it stands.
+    pub fn settled(&self) -> bool {
+        let told = self.connected && !self.announce && self.awaiting.is_none();
+        self.backend.is_none() || told
+    }
+
     /// Tasks that take up room.
     pub fn occupied(&self) -> u32 {
         let members = self.members.values().filter(|member| member.occupies());
