--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -9,6 +9,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::agent::answers;
 use crate::agent::backend;
@@ -29,6 +30,9 @@
 /// How long the answer to an announcement may wait for a lease.
 const LEND_WAIT: core_time::Millis = core_time::Millis(400);
 
+/// How long a planned stop without tasks waits for a leader to take note of it.
+const LEAVE_WAIT: core_time::Millis = core_time::Millis::from_secs(5);
+
 /// How long tasks may take to checkpoint when a planned stop is out of time.
 const CUT_GRACE: core_time::Millis = core_time::Millis::from_secs(5);
 
@@ -83,8 +87,12 @@
     waiting: Vec<Waiting>,
     view: rc::Rc<cell::RefCell<View>>,
     revision: rc::Rc<cell::Cell<u64>>,
+    /// Where the number of a session that is to be dropped goes.
+    dropped: watch::Sender<u64>,
     /// How long a planned stop lets tasks run.
     drain: core_time::Millis,
+    /// Until when a planned stop waits to be taken note of.
+    leave: core_time::Tick,
     /// When the planned stop is out of time.
     cut: Option<core_time::Tick>,
     /// When the planned stop ends whatever is left.
@@ -98,6 +106,7 @@
         drain: core_time::Millis,
         view: rc::Rc<cell::RefCell<View>>,
         revision: rc::Rc<cell::Cell<u64>>,
+        dropped: watch::Sender<u64>,
     ) -> Self {
         Self {
             clock: clock::Clock::start(),
@@ -111,7 +120,9 @@
             waiting: Vec::new(),
             view,
             revision,
+            dropped,
             drain,
+            leave: core_time::Tick(0),
             cut: None,
             end: None,
         }
@@ -145,7 +156,8 @@
     fn done(&mut self) -> bool {
         let now = self.clock.tick();
         let Some(cut) = self.cut else { return false };
-        if self.state.idle() || self.end.is_some_and(|end| now >= end) {
+        let noted = self.state.settled() || now >= self.leave;
+        if (self.state.idle() && noted) || self.end.is_some_and(|end| now >= end) {
             return true;
         }
         if now >= cut && self.end.is_none() {
@@ -160,7 +172,9 @@
         match call {
             Call::Announce(announcement, reply) => self.announce(announcement, reply),
             Call::Stop => {
-                self.cut = Some(self.clock.tick() + self.drain);
+                let now = self.clock.tick();
+                self.leave = now + LEAVE_WAIT;
+                self.cut = Some(now + self.drain);
                 self.step(state::Input::Leave);
             }
         }
@@ -228,6 +242,9 @@
         match output {
             state::Output::Send(message) => self.send(&message),
             state::Output::Deliver { attempt, meta } => self.deliver(attempt, meta),
+            state::Output::Reconnect => {
+                self.dropped.send_replace(self.sessions);
+            }
             state::Output::Log(event, details) => event.log(format_args!("{details}")),
             output => {
                 if let Some((_, client)) = &self.client {
@@ -325,7 +342,10 @@
                 None
             }
             state::Output::Sweep { keep } => Some(state::Input::Swept(client.sweep(&keep).await)),
-            state::Output::Send(_) | state::Output::Deliver { .. } | state::Output::Log(..) => None,
+            state::Output::Send(_)
+            | state::Output::Deliver { .. }
+            | state::Output::Reconnect
+            | state::Output::Log(..) => None,
         }
     })
 }
