--- a/src/cli/store.rs
+++ b/src/cli/store.rs
@@ -1,57 +1,47 @@
-//! `hemlockcleat store`: look into a data folder.
+//! `hemlockcleat store`: looks into the data folder of a stopped control replica.
 
+use std::io;
 use std::path;
-use std::process;
 
-use crate::ops::store;
+use clap::Subcommand as _;
 
-/// The arguments of `hemlockcleat store`.
-#[derive(Clone, Debug, clap::Args)]
-pub struct Cli {
-    #[command(subcommand)]
-    command: Command,
-}
+use crate::cli;
+use crate::cli::error;
+use crate::cli::print;
+use crate::ops::store;
 
-#[derive(Clone, Debug, clap::Subcommand)]
+#[derive(Debug, clap::Subcommand)]
 enum Command {
-    /// Show what a data folder of a stopped replica holds.
+    /// Show what a data folder of a stopped replica holds
     #[command(after_help = "Example:\n  hemlockcleat store inspect /var/lib/hemlockcleat")]
     Inspect(Folder),
-    /// Check every file of a data folder of a stopped replica; ends with 1 if one is damaged.
+    /// Check every file of a data folder of a stopped replica; ends with 1 if one is damaged
     #[command(after_help = "Example:\n  hemlockcleat store verify /var/lib/hemlockcleat")]
     Verify(Folder),
 }
 
-#[derive(Clone, Debug, clap::Args)]
+#[derive(Debug, clap::Args)]
 struct Folder {
-    /// The data folder.
+    /// The data folder
     dir: path::PathBuf,
 }
 
-/// The subcommand's definition.
+/// The subcommand's arguments.
 pub fn cli() -> clap::Command {
-    <Cli as clap::Args>::augment_args(clap::Command::new("store"))
+    let command = clap::Command::new("store")
         .about("Look into the data folder of a stopped control replica")
+        .subcommand_required(true);
+    Command::augment_subcommands(command)
 }
 
-/// Runs the subcommand and prints for people or as JSON.
-pub fn exec(args: &Cli, json: bool) -> process::ExitCode {
-    let printed = match &args.command {
-        Command::Inspect(folder) => {
-            store::inspect(&folder.dir).map(|report| store::show(&report, json))
-        }
-        Command::Verify(folder) => {
-            store::inspect(&folder.dir).map(|report| store::verdict(&report, json))
-        }
-    };
-    match printed {
-        Ok(text) => {
-            println!("{text}");
-            process::ExitCode::SUCCESS
-        }
-        Err(error) => {
-            eprintln!("{error}");
-            process::ExitCode::FAILURE
-        }
+/// Runs the subcommand.
+pub fn exec(context: &cli::Context, args: &clap::ArgMatches) -> Result<(), error::Error> {
+    let command: Command = cli::parse(args)?;
+    let (Command::Inspect(folder) | Command::Verify(folder)) = &command;
+    let report = store::inspect(&folder.dir).map_err(io::Error::other)?;
+    match (context.output, &command) {
+        (print::Output::Json, _) => print::json(&store::to_json(&report)),
+        (print::Output::Table, Command::Inspect(_)) => print::line(&store::to_text(&report)),
+        (print::Output::Table, Command::Verify(_)) => print::line(&store::verdict(&report)),
     }
 }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -2,5 +2,7 @@
 
 pub mod check_settings;
 pub mod daemon;
+pub mod demo;
+pub mod local;
 pub mod standin;
 pub mod store;
--- a/src/ops/store.rs
+++ b/src/ops/store.rs
@@ -20,11 +20,8 @@
     inspect::inspect(&disk::Folder::open(dir)?)
 }
 
-/// What a folder holds, for people or as JSON.
-pub fn show(report: &inspect::Report, json: bool) -> String {
-    if json {
-        return as_json(report).to_string();
-    }
+/// What a folder holds, for people.
+pub fn to_text(report: &inspect::Report) -> String {
     let mut text = String::new();
     let mut line = |name: &str, value: String| {
         let _ = writeln!(text, "{name:<10} {value}");
@@ -43,16 +40,16 @@
     text.trim_end().to_owned()
 }
 
-/// That a folder is sound, for people or as JSON.
-pub fn verdict(report: &inspect::Report, json: bool) -> String {
-    match (json, report.torn) {
-        (true, _) => as_json(report).to_string(),
-        (false, 0) => "sound".to_owned(),
-        (false, torn) => format!("sound; the next start cuts {torn} bytes of a torn write"),
+/// That a folder is sound, for people.
+pub fn verdict(report: &inspect::Report) -> String {
+    match report.torn {
+        0 => "sound".to_owned(),
+        torn => format!("sound; the next start cuts {torn} bytes of a torn write"),
     }
 }
 
-fn as_json(report: &inspect::Report) -> serde_json::Value {
+/// What a folder holds, for programs.
+pub fn to_json(report: &inspect::Report) -> serde_json::Value {
     let file = |(name, length): &(String, u64)| serde_json::json!({"name": name, "bytes": length});
     serde_json::json!({
         "replica": report.id.replica.0,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,11 +1,17 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
 mod agent;
+mod agent_faults;
+mod agent_model;
+mod agent_state;
+mod cli;
 mod consensus;
 mod consensus_wire;
 mod consensus_world;
 mod entry;
+mod entry_contract;
 mod entry_faults;
+mod entry_page;
 mod gang;
 mod lease;
 mod ledger;
