--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -19,6 +19,7 @@
 pub mod request;
 pub mod stand_in;
 pub mod status;
+pub mod store;
 pub mod ticket;
 pub mod worker;
 
