--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -5,6 +5,8 @@
 mod driver;
 mod workload;
 
+use hemlockcleat::core::account;
+use hemlockcleat::core::placement::plan;
 use hemlockcleat::core::placement::planner;
 
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
@@ -28,6 +30,8 @@
     short_p50: f64,
     short_p99: f64,
     longest: [f64; 4],
+    claims: f64,
+    claim_longest: f64,
     refused: f64,
     stops: f64,
 }
@@ -95,6 +99,7 @@
             urgent.push(wait);
         }
     }
+    let mut claims = claim_waits(workload, outcome);
     let in_time = urgent.iter().filter(|wait| **wait <= START_BOUND).count();
     Figures {
         urgent_in_time: 100.0 * in_time as f64 / urgent.len().max(1) as f64,
@@ -111,11 +116,46 @@
         short_p50: quantile(&mut short, 50),
         short_p99: quantile(&mut short, 99),
         longest,
+        claims: claims.len() as f64,
+        claim_longest: quantile(&mut claims, 100),
         refused: f64::from(refused),
         stops: f64::from(stops),
     }
 }
 
+/// How long each claim of a guarantee waited, in milliseconds.
+///
+/// A claim is an urgent or scheduled job of just a guaranteed shape, submitted while its account
+/// has fewer other such jobs unfinished than the guarantee counts.
+fn claim_waits(workload: &workload::Workload, outcome: &driver::Outcome) -> Vec<u64> {
+    let may_claim = |queued: &plan::Queued| {
+        let kind = workload.config.kind(&queued.service, &queued.kind).unwrap();
+        kind.class <= account::Class::Scheduled
+    };
+    let jobs: Vec<_> = workload
+        .arrivals
+        .iter()
+        .zip(&outcome.fates)
+        .filter(|(arrival, _)| may_claim(&arrival.queued))
+        .map(|(arrival, fate)| (&arrival.queued, fate))
+        .collect();
+    let mut waits = Vec::new();
+    for (queued, fate) in &jobs {
+        let guarantees = &workload.config.accounts[&queued.account].guarantees;
+        let exact = guarantees.iter().find(|guarantee| guarantee.shape == queued.shape);
+        let Some(guarantee) = exact else { continue };
+        let others = jobs.iter().filter(|(other, fate)| {
+            other.account == queued.account
+                && other.job < queued.job
+                && fate.done.is_none_or(|done| done > queued.submitted.0)
+        });
+        if others.count() < guarantee.count as usize {
+            waits.extend(fate.started.map(|started| started - queued.submitted.0));
+        }
+    }
+    waits
+}
+
 /// A quantile in seconds.
 fn quantile(values: &mut [u64], percent: usize) -> f64 {
     values.sort_unstable();
@@ -126,7 +166,7 @@
 /// The rows of the tables: the name, how to read it, and whether less is better.
 type Row = (&'static str, fn(&Figures) -> f64, bool);
 
-const ROWS: [Row; 23] = [
+const ROWS: [Row; 25] = [
     ("completion p50, s", |figures| figures.done_p50, true),
     ("completion p99, s", |figures| figures.done_p99, true),
     ("completion p50 but idle, s", |figures| figures.busy_p50, true),
@@ -148,6 +188,8 @@
     ("longest wait scheduled, s", |figures| figures.longest[1] / 1000.0, true),
     ("longest wait deferred, s", |figures| figures.longest[2] / 1000.0, true),
     ("longest wait idle, s", |figures| figures.longest[3] / 1000.0, true),
+    ("guarantee claims", |figures| figures.claims, false),
+    ("slowest start of a claim, s", |figures| figures.claim_longest, true),
     ("refused", |figures| figures.refused, true),
     ("runs stopped for others", |figures| figures.stops, true),
 ];
--- a/src/core/placement/backfill.rs
+++ b/src/core/placement/backfill.rs
@@ -115,7 +115,7 @@
     fn earliest(&self, now: time::Tick, key: ids::JobKey, for_oldest: bool) -> Option<Future> {
         let work = self.jobs.get(&key)?;
         let best = self
-            .regions(work.shape.adjacency)
+            .regions(work.shape)
             .into_iter()
             .filter_map(|region| self.start_in(now, work, &region))
             .min_by(|a, b| a.0.cmp(&b.0))?;
--- a/src/core/placement/decide.rs
+++ b/src/core/placement/decide.rs
@@ -22,6 +22,9 @@
 /// How long deferred work waits before it counts as scheduled.
 const AGEING: time::Millis = time::Millis::from_secs(600);
 
+/// How long deferred work is passed by for earlier deadlines.
+pub(super) const PATIENCE: time::Millis = time::Millis::from_secs(1200);
+
 /// How long work that can't be stopped, of the classes that may wait, does so before it may use
 /// its account's guarantee.
 const CLAIM_AGE: time::Millis = time::Millis::from_secs(60);
@@ -63,11 +66,16 @@
         Some((class, self.over_share(state.account), self.latest_start(work), group))
     }
 
-    /// The last moment at which the job can start and still meet its deadline.
+    /// The last moment at which the job can start and still meet its deadline; for deferred work
+    /// at most a fixed time after its submission, so that late deadlines don't starve it.
     fn latest_start(&self, work: &work::Work) -> time::Tick {
         let runs = &self.catalog.kinds[work.kind].runs;
         let span = runs.quantile(super::estimate::USUAL, work.declared, 100);
-        time::Tick(work.deadline.0.saturating_sub(span.0))
+        let latest = time::Tick(work.deadline.0.saturating_sub(span.0));
+        match work.class {
+            account::Class::Deferred => latest.min(work.submitted + PATIENCE),
+            _ => latest,
+        }
     }
 
     /// Whether an account borrows more than its weight entitles it to.
@@ -87,7 +95,7 @@
         let Some(work) = self.jobs.get(&key).cloned() else { return true };
         let claims = self.may_claim(now, &work);
         let stoppable = self.catalog.kinds[work.kind].stoppable();
-        claims && self.claim_exact(&work, out)
+        claims && self.claim_exact(now, &work, out)
             || stoppable && self.probe(now, &work, out)
             || self.spare(now, &work, stoppable, out)
             || claims && self.claim_part(&work, out)
@@ -108,34 +116,60 @@
         }
     }
 
-    /// Searches for a place; workers on which the job failed come last.
+    /// Searches for a place. Places kept for others come last where the job may use them at all,
+    /// and so do workers on which it failed.
     pub(super) fn search(
         &self,
         now: time::Tick,
         work: &work::Work,
         room: fleet::Room,
     ) -> Option<fit::Place> {
-        let futures = self.futures_against(now, work);
-        let reserved = |worker: usize| futures.iter().any(|future| future.holds(worker));
-        let avoided =
-            |worker: usize| reserved(worker) || self.health.failed_there(work.key, worker);
-        let slow_first = work.class == account::Class::Idle;
-        let ask = |skip| fit::Ask {
+        let kept = |worker: usize| {
+            let others = self.futures.iter().filter(|future| future.job != work.key);
+            others.into_iter().any(|future| future.holds(worker))
+        };
+        let failed = |worker: usize| self.health.failed_there(work.key, worker);
+        let against = self.futures_against(now, work);
+        let barred = |worker: usize| against.iter().any(|future| future.holds(worker));
+        let find = |skip: &dyn Fn(usize) -> bool| {
+            let ask = self.ask(work, room, skip);
+            fit::find(&self.fleet, &ask)
+        };
+        let polite = |worker: usize| kept(worker) || failed(worker);
+        let usual = |worker: usize| barred(worker) || failed(worker);
+        let mut found = find(&polite);
+        if found.is_none() && !self.futures.is_empty() {
+            found = find(&usual);
+        }
+        if found.is_none() && self.health.has_failed(work.key) {
+            found = find(&barred);
+        }
+        found
+    }
+
+    fn ask<'a>(
+        &self,
+        work: &work::Work,
+        room: fleet::Room,
+        skip: &'a dyn Fn(usize) -> bool,
+    ) -> fit::Ask<'a> {
+        fit::Ask {
             service: Some(work.service),
             shape: work.shape,
             room,
-            slow_first,
+            slow_first: work.class == account::Class::Idle,
+            thrifty: false,
             skip,
-        };
-        let found = fit::find(&self.fleet, &ask(&avoided));
-        if found.is_some() || !self.health.has_failed(work.key) {
-            return found;
         }
-        fit::find(&self.fleet, &ask(&reserved))
     }
 
     /// A unit of just this shape, where nothing stands in the way or it can move to free room.
-    fn claim_exact(&mut self, work: &work::Work, out: &mut Vec<plan::Output>) -> bool {
+    fn claim_exact(
+        &mut self,
+        now: time::Tick,
+        work: &work::Work,
+        out: &mut Vec<plan::Output>,
+    ) -> bool {
         let exact = |unit: &reserve::Unit| unit.shape == work.shape && unit.users == 0;
         let units: Vec<_> = self
             .reserve
@@ -149,15 +183,7 @@
                 return true;
             }
         }
-        let skip = |worker: usize| self.health.failed_there(work.key, worker);
-        let ask = fit::Ask {
-            service: Some(work.service),
-            shape: work.shape,
-            room: fleet::Room::Spare,
-            slow_first: false,
-            skip: &skip,
-        };
-        let Some(place) = fit::find(&self.fleet, &ask) else { return false };
+        let Some(place) = self.search(now, work, fleet::Room::Spare) else { return false };
         self.reserve.move_to(&mut self.fleet, first, &place);
         self.version += 1;
         self.claim_unit(work, first, out)
@@ -278,6 +304,7 @@
             shape: work.shape,
             room: fleet::Room::Free,
             slow_first: false,
+            thrifty: false,
             skip: &|_| false,
         };
         fit::find(&self.empty, &ask).is_some()
--- a/src/core/placement/displace.rs
+++ b/src/core/placement/displace.rs
@@ -23,9 +23,21 @@
 /// The gain of a move must be this many times its cost.
 const MARGIN: u64 = 2;
 
+/// How many times smaller than the gang moved work must be.
+const SMALL_FACTOR: i64 = 4;
+
 /// Regions looked at for a move.
 const MAX_REGIONS: usize = 64;
 
+/// Workers looked at in a region for each task of a gang.
+const REGION_FACTOR: usize = 2;
+
+/// Workers looked at in a region besides.
+const REGION_MARGIN: usize = 64;
+
+/// Workers looked at in all regions together.
+const REGION_BUDGET: usize = 4096;
+
 /// What stopping any job costs at least, in accelerator milliseconds.
 const STOP_COST: u64 = 500;
 
@@ -155,7 +167,7 @@
         }
         let movable = |victim: &work::Work| {
             let kind = &self.catalog.kinds[victim.kind];
-            let small = victim.accelerators() * 4 <= work.accelerators();
+            let small = victim.accelerators() * SMALL_FACTOR <= work.accelerators();
             victim.class >= work.class
                 && (small || victim.class > work.class || self.yields(now, victim, work))
                 && kind.repeatable
@@ -163,7 +175,7 @@
         };
         let gain = self.expected_wait(now, work).0.saturating_mul(work.shape.total());
         let mut best: Option<(u64, fit::Place, BTreeSet<ids::JobKey>)> = None;
-        for region in self.regions(work.shape.adjacency).into_iter().take(MAX_REGIONS) {
+        for region in self.regions(work.shape) {
             let Some(place) = self.movable_place(work, &region, &movable) else { continue };
             if !stoppable && !self.unreserved(work, &place) {
                 continue;
@@ -224,30 +236,41 @@
         (left == 0).then_some(place)
     }
 
-    /// The sets of workers within which a shape of this adjacency must lie.
-    pub(super) fn regions(&self, adjacency: shape::Adjacency) -> Vec<Vec<usize>> {
+    /// Sets of workers within which a shape may lie, the emptiest racks first, so many workers of
+    /// each and in all that a look at every one of them stays cheap.
+    pub(super) fn regions(&self, shape: shape::Shape) -> Vec<Vec<usize>> {
+        let width = shape.tasks as usize * REGION_FACTOR + REGION_MARGIN;
+        let mut left = REGION_BUDGET;
+        let mut regions = Vec::new();
+        for mut region in self.all_regions(shape.adjacency) {
+            region.truncate(width.min(left));
+            left -= region.len();
+            regions.push(region);
+            if left == 0 || regions.len() == MAX_REGIONS {
+                break;
+            }
+        }
+        regions
+    }
+
+    fn all_regions(&self, adjacency: shape::Adjacency) -> Vec<Vec<usize>> {
         let racks_of = |center: usize| self.fleet.racks_from(center, fleet::Room::Free, 0).rev();
-        let workers_of = |rack: usize| self.fleet.racks[rack].workers.clone();
+        let workers_of = |rack: usize| self.fleet.racks[rack].workers.iter().copied();
         let centers = 0..self.fleet.centers.len();
         let per_center = MAX_REGIONS / self.fleet.centers.len().max(1) + 1;
+        let racks = centers.clone().flat_map(|center| racks_of(center).take(per_center));
+        let whole =
+            |center: usize| racks_of(center).flat_map(|(_, rack)| workers_of(rack)).collect();
         match adjacency {
-            shape::Adjacency::Worker => centers
-                .flat_map(|center| racks_of(center).take(per_center))
-                .flat_map(|(_, rack)| workers_of(rack))
-                .map(|worker| vec![worker])
-                .collect(),
-            shape::Adjacency::Rack => centers
-                .flat_map(|center| racks_of(center).take(per_center))
-                .map(|(_, rack)| workers_of(rack))
-                .collect(),
-            shape::Adjacency::DataCenter => centers
-                .map(|center| racks_of(center).flat_map(|(_, rack)| workers_of(rack)).collect())
-                .collect(),
-            shape::Adjacency::Cell => vec![
-                centers
-                    .flat_map(|center| racks_of(center).flat_map(|(_, rack)| workers_of(rack)))
-                    .collect(),
-            ],
+            shape::Adjacency::Worker => {
+                racks.flat_map(|(_, rack)| workers_of(rack)).map(|worker| vec![worker]).collect()
+            }
+            shape::Adjacency::Rack => racks.map(|(_, rack)| workers_of(rack).collect()).collect(),
+            shape::Adjacency::DataCenter => centers.map(whole).collect(),
+            shape::Adjacency::Cell => {
+                let all = centers.flat_map(|center| whole(center) as Vec<usize>);
+                vec![all.collect()]
+            }
         }
     }
 
--- a/src/core/placement/feasible.rs
+++ b/src/core/placement/feasible.rs
@@ -104,6 +104,7 @@
         shape,
         room: fleet::Room::Reservable,
         slow_first: false,
+        thrifty: false,
         skip: &|_| false,
     };
     fit::find(fleet, &ask)
--- a/src/core/placement/fit.rs
+++ b/src/core/placement/fit.rs
@@ -26,6 +26,9 @@
     pub room: fleet::Room,
     /// Whether slower workers are taken first.
     pub slow_first: bool,
+    /// Whether a slot is left on each worker for each free accelerator, so that work without
+    /// accelerators strands none; [`find`] tries this first by itself.
+    pub thrifty: bool,
     /// Workers that must not be taken.
     pub skip: &'a dyn Fn(usize) -> bool,
 }
@@ -39,12 +42,26 @@
         if !fleet.usable(worker) || !fleet.offers(worker, self.service) || (self.skip)(worker) {
             return 0;
         }
-        fleet.room(worker, self.room).tasks(self.shape.accelerators)
+        let room = fleet.room(worker, self.room);
+        let tasks = room.tasks(self.shape.accelerators);
+        if !self.thrifty {
+            return tasks;
+        }
+        let free = fleet.room(worker, fleet::Room::Free);
+        let beyond = (room.slots.min(free.slots) - free.accelerators.max(0)).max(0);
+        tasks.min(u32::try_from(beyond).unwrap_or(u32::MAX))
     }
 }
 
 /// The best place for the shape, if there is one now.
 pub fn find(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
+    if ask.shape.accelerators > 0 {
+        return find_in(fleet, ask);
+    }
+    find_in(fleet, &Ask { thrifty: true, ..*ask }).or_else(|| find_in(fleet, ask))
+}
+
+fn find_in(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
     let tight = match ask.shape.tasks {
         1 => shape::Adjacency::Worker,
         _ => ask.shape.adjacency,
