--- a/src/core/placement/feasible.rs
+++ b/src/core/placement/feasible.rs
@@ -103,7 +103,7 @@
         service: None,
         shape,
         room: fleet::Room::Reservable,
-        slow_first: false,
+        slow_first: true,
         thrifty: false,
         skip: &|_| false,
     };
--- a/src/core/placement/fit.rs
+++ b/src/core/placement/fit.rs
@@ -13,6 +13,9 @@
 /// The most racks of a data centre looked at for such a job before the workers are.
 const MAX_RACKS: usize = 64;
 
+/// The racks with equal room among which the speed decides, in each data centre.
+const MAX_TIES: usize = 16;
+
 /// A place: workers by their position in the fleet, with the number of tasks on each.
 pub type Place = Vec<(usize, u32)>;
 
@@ -38,6 +41,12 @@
         i64::try_from(self.shape.total()).unwrap_or(i64::MAX)
     }
 
+    /// The order in which speeds are taken.
+    fn speed_rank(&self, speed: u32) -> i64 {
+        let speed = i64::from(speed);
+        if self.slow_first { speed } else { -speed }
+    }
+
     fn tasks_on(&self, fleet: &fleet::Fleet, worker: usize) -> u32 {
         if !fleet.usable(worker) || !fleet.offers(worker, self.service) || (self.skip)(worker) {
             return 0;
@@ -85,8 +94,7 @@
         (0..fleet.pools.len()).filter(|&pool| offers(&fleet.pools[pool])).collect();
     pools.sort_by_key(|&pool| {
         let pool = &fleet.pools[pool];
-        let speed = i64::from(pool.speed);
-        (pool.trust, if ask.slow_first { speed } else { -speed })
+        (pool.trust, ask.speed_rank(pool.speed))
     });
     pools
 }
@@ -129,19 +137,28 @@
 }
 
 fn on_rack(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
-    let mut best: Option<(i64, Place)> = None;
+    let mut best: Option<(i64, i64, Place)> = None;
     for center in 0..fleet.centers.len() {
+        let mut ties = MAX_TIES;
         for (room, rack) in fleet.racks_from(center, ask.room, ask.wanted()) {
-            if best.as_ref().is_some_and(|(least, _)| *least <= room) {
+            if ties == 0 || best.as_ref().is_some_and(|(least, ..)| *least < room) {
                 break;
             }
-            if let Some(place) = fill_one_speed(fleet, ask, &fleet.racks[rack].workers) {
-                best = Some((room, place));
-                break;
+            let Some(place) = fill_one_speed(fleet, ask, &fleet.racks[rack].workers) else {
+                continue;
+            };
+            ties -= 1;
+            let speed = ask.speed_rank(slowest(fleet, &place));
+            if best.as_ref().is_none_or(|(least, fast, _)| (room, speed) < (*least, *fast)) {
+                best = Some((room, speed, place));
             }
         }
     }
-    best.map(|(_, place)| place)
+    best.map(|(.., place)| place)
+}
+
+fn slowest(fleet: &fleet::Fleet, place: &Place) -> u32 {
+    place.iter().map(|&(worker, _)| fleet.workers[worker].speed).min().unwrap_or(0)
 }
 
 fn on_center(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
@@ -196,9 +213,7 @@
     }
     let mut speeds: Vec<_> =
         by_speed.iter().filter(|(_, tasks)| **tasks >= wanted).map(|(key, _)| *key).collect();
-    speeds.sort_by_key(|&(trust, speed)| {
-        (trust, if ask.slow_first { i64::from(speed) } else { -i64::from(speed) })
-    });
+    speeds.sort_by_key(|&(trust, speed)| (trust, ask.speed_rank(speed)));
     if let Some(&(trust, speed)) = speeds.first() {
         able.retain(|&(worker, _)| {
             fleet.workers[worker].trust == trust && fleet.workers[worker].speed == speed
