--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -9,6 +9,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::agent::answers;
 use crate::agent::backend;
@@ -29,6 +30,9 @@
 /// How long the answer to an announcement may wait for a lease.
 const LEND_WAIT: core_time::Millis = core_time::Millis(400);
 
+/// How long a planned stop without tasks waits for a leader to take note of it.
+const LEAVE_WAIT: core_time::Millis = core_time::Millis::from_secs(5);
+
 /// How long tasks may take to checkpoint when a planned stop is out of time.
 const CUT_GRACE: core_time::Millis = core_time::Millis::from_secs(5);
 
@@ -83,8 +87,12 @@
     waiting: Vec<Waiting>,
     view: rc::Rc<cell::RefCell<View>>,
     revision: rc::Rc<cell::Cell<u64>>,
+    /// Where the number of a session that is to be dropped goes.
+    dropped: watch::Sender<u64>,
     /// How long a planned stop lets tasks run.
     drain: core_time::Millis,
+    /// Until when a planned stop waits to be taken note of.
+    leave: core_time::Tick,
     /// When the planned stop is out of time.
     cut: Option<core_time::Tick>,
     /// When the planned stop ends whatever is left.
@@ -92,15 +100,17 @@
 }
 
 impl Driver {
-    /// A driver that shows itself in `view`.
+    /// A driver that shows itself in `view` and counts its fencing tokens from `fence`.
     pub fn new(
+        fence: u64,
         drain: core_time::Millis,
         view: rc::Rc<cell::RefCell<View>>,
         revision: rc::Rc<cell::Cell<u64>>,
+        dropped: watch::Sender<u64>,
     ) -> Self {
         Self {
             clock: clock::Clock::start(),
-            state: state::State::new(),
+            state: state::State::new(fence),
             client: None,
             session: None,
             sessions: 0,
@@ -110,7 +120,9 @@
             waiting: Vec::new(),
             view,
             revision,
+            dropped,
             drain,
+            leave: core_time::Tick(0),
             cut: None,
             end: None,
         }
@@ -144,7 +156,8 @@
     fn done(&mut self) -> bool {
         let now = self.clock.tick();
         let Some(cut) = self.cut else { return false };
-        if self.state.idle() || self.end.is_some_and(|end| now >= end) {
+        let noted = self.state.settled() || now >= self.leave;
+        if (self.state.idle() && noted) || self.end.is_some_and(|end| now >= end) {
             return true;
         }
         if now >= cut && self.end.is_none() {
@@ -159,7 +172,9 @@
         match call {
             Call::Announce(announcement, reply) => self.announce(announcement, reply),
             Call::Stop => {
-                self.cut = Some(self.clock.tick() + self.drain);
+                let now = self.clock.tick();
+                self.leave = now + LEAVE_WAIT;
+                self.cut = Some(now + self.drain);
                 self.step(state::Input::Leave);
             }
         }
@@ -227,6 +242,9 @@
         match output {
             state::Output::Send(message) => self.send(&message),
             state::Output::Deliver { attempt, meta } => self.deliver(attempt, meta),
+            state::Output::Reconnect => {
+                self.dropped.send_replace(self.sessions);
+            }
             state::Output::Log(event, details) => event.log(format_args!("{details}")),
             output => {
                 if let Some((_, client)) = &self.client {
@@ -295,8 +313,8 @@
     let answers = answers.clone();
     Box::pin(async move {
         match output {
-            state::Output::Begin { task, prepare, until } => {
-                let begun = client.begin(clock, task, &prepare, until).await;
+            state::Output::Begin { task, prepare, lease } => {
+                let begun = client.begin(clock, task, &prepare, lease).await;
                 Some(state::Input::Begun(task, begun))
             }
             state::Output::Watch { task, pause } => {
@@ -304,8 +322,7 @@
                 Some(state::Input::Watched(task, client.watch(task).await))
             }
             state::Output::Stop { task } => {
-                client.order(task, "/stop").await;
-                None
+                Some(state::Input::Stopped(task, client.stop(task).await))
             }
             state::Output::Checkpoint { task, grace } => {
                 client.order(task, &format!("/checkpoint?grace={grace}")).await;
@@ -325,7 +342,10 @@
                 None
             }
             state::Output::Sweep { keep } => Some(state::Input::Swept(client.sweep(&keep).await)),
-            state::Output::Send(_) | state::Output::Deliver { .. } | state::Output::Log(..) => None,
+            state::Output::Send(_)
+            | state::Output::Deliver { .. }
+            | state::Output::Reconnect
+            | state::Output::Log(..) => None,
         }
     })
 }
--- a/src/agent/state/mod.rs
+++ b/src/agent/state/mod.rs
@@ -8,7 +8,6 @@
 //! result says.
 
 use std::collections::BTreeMap;
-use std::rc;
 
 use crate::agent::contract;
 use crate::core::ids;
@@ -21,15 +20,17 @@
 
 mod gangs;
 mod member;
+mod step;
+mod task;
 mod tombs;
 
-pub use member::Begun;
-pub use member::Fetched;
-pub use member::Seen;
-pub use member::TaskEnd;
-
-use member::Member;
-use tombs::Tombs;
+pub use step::Input;
+pub use step::Lease;
+pub use step::Output;
+pub use task::Begun;
+pub use task::Fetched;
+pub use task::Seen;
+pub use task::TaskEnd;
 
 /// How long the backend server may be silent before it is taken as gone.
 pub const SILENCE: time::Millis = time::Millis::from_secs(3);
@@ -37,6 +38,9 @@
 /// How soon a backend server is to repeat its announcement.
 pub const REPEAT: time::Millis = time::Millis(500);
 
+/// How long the leader may leave heartbeats and announcements unanswered.
+pub const SESSION_SILENCE: time::Millis = time::Millis::from_secs(2);
+
 /// How long the agent waits for a registration before it announces the worker again.
 const ANNOUNCE_RESEND: time::Millis = time::Millis::from_secs(2);
 
@@ -44,107 +48,6 @@
 const SWEEP_PAUSE: time::Millis = time::Millis::from_secs(1);
 
 macros::plain! {
-    /// What the state is told.
-    pub enum Input {
-        /// A leader has welcomed this agent on a new session.
-        Connected,
-        /// The session has ended.
-        Disconnected,
-        /// A message from the leader.
-        Down(agent::Down),
-        /// The backend server has announced itself, or repeats it.
-        Announced(contract::Announcement),
-        /// Tasks that nothing here knows were stopped and deleted at the backend server, or not.
-        Swept(bool),
-        /// What became of the order to start a task.
-        Begun(contract::TaskKey, Begun),
-        /// What the backend server says of a task.
-        Watched(contract::TaskKey, Seen),
-        /// What became of fetching an answer.
-        Fetched(ids::AttemptKey, Fetched),
-        /// The answer's bytes were sent to the leader.
-        Delivered(ids::AttemptKey),
-        /// The agent is told to stop: it wants no new work.
-        Leave,
-        /// The agent's time is up: what still runs is stopped, after this grace.
-        StopAll(time::Millis),
-        /// Time has passed.
-        Tick,
-    }
-
-    /// What is to be done.
-    pub enum Output {
-        /// Send a message to the leader, if there is a session.
-        Send(agent::Up),
-        /// Order the start of a task, but not at or after `until`. Answered by [`Input::Begun`].
-        Begin {
-            /// The task.
-            task: contract::TaskKey,
-            /// What it runs.
-            prepare: rc::Rc<agent::Prepare>,
-            /// When the lease ends.
-            until: time::Tick,
-        },
-        /// Ask after a task until it ends, for a bounded time. Answered by [`Input::Watched`].
-        Watch {
-            /// The task.
-            task: contract::TaskKey,
-            /// How long to wait first.
-            pause: time::Millis,
-        },
-        /// Stop a task at once.
-        Stop {
-            /// The task.
-            task: contract::TaskKey,
-        },
-        /// Have a task checkpoint and stop.
-        Checkpoint {
-            /// The task.
-            task: contract::TaskKey,
-            /// How long it may take.
-            grace: time::Millis,
-        },
-        /// Hold a task to a share of its speed.
-        Throttle {
-            /// The task.
-            task: contract::TaskKey,
-            /// The share in percent.
-            percent: u32,
-        },
-        /// Fetch the answer of a task and keep it. Answered by [`Input::Fetched`].
-        Fetch {
-            /// The task.
-            task: contract::TaskKey,
-            /// Its length and checksum, as the backend server promised them.
-            meta: common::AnswerMeta,
-            /// The longest answer permitted, in bytes.
-            limit: u64,
-        },
-        /// Send the kept answer in chunks, then the attempt's end. Answered by
-        /// [`Input::Delivered`] if the session lasts.
-        Deliver {
-            /// The attempt.
-            attempt: ids::AttemptKey,
-            /// The answer's length and checksum.
-            meta: common::AnswerMeta,
-        },
-        /// Drop the kept answer and delete the tasks at the backend server.
-        Discard {
-            /// The attempt.
-            attempt: ids::AttemptKey,
-            /// The tasks.
-            tasks: Vec<contract::TaskKey>,
-        },
-        /// Stop and delete every task at the backend server but these. Answered by
-        /// [`Input::Swept`].
-        Sweep {
-            /// The tasks that are known.
-            keep: Vec<contract::TaskKey>,
-        },
-        /// Log an event.
-        Log(event::Event, String),
-    }
-
     /// Whether the backend server is there.
     enum Presence {
         /// It has not announced itself, or has fallen silent.
@@ -169,11 +72,15 @@
 /// The state of an agent.
 pub struct State {
     holder: lease::Holder,
+    /// The fencing token for the backend server.
+    fence: u64,
     /// The first epoch given to this run of the agent; an earlier run has held those below.
     first_epoch: Option<ids::Epoch>,
     /// Whether the lease was valid when last looked at.
     leased: bool,
     connected: bool,
+    /// Since when something that was said has gone unanswered.
+    unanswered: Option<time::Tick>,
     revision: ids::Revision,
     backend: Option<Backend>,
     presence: Presence,
@@ -189,26 +96,23 @@
     awaiting: Option<time::Tick>,
     /// When the last heartbeat was sent.
     beaten: time::Tick,
-    members: BTreeMap<ids::AttemptKey, Member>,
-    tombs: Tombs,
+    members: BTreeMap<ids::AttemptKey, member::Member>,
+    tombs: tombs::Tombs,
 }
 
-type Out = Vec<Output>;
-
-impl Default for State {
-    fn default() -> Self {
-        Self::new()
-    }
-}
+type Out = Vec<step::Output>;
 
 impl State {
-    /// Knows no backend server, holds no lease and no tasks.
-    pub fn new() -> Self {
+    /// Knows no backend server, holds no lease and no tasks. The fencing tokens are counted from
+    /// `fence`, which is to be random, so that no other run of the agent has used them.
+    pub fn new(fence: u64) -> Self {
         Self {
             holder: lease::Holder::new(),
+            fence,
             first_epoch: None,
             leased: false,
             connected: false,
+            unanswered: None,
             revision: ids::Revision(0),
             backend: None,
             presence: Presence::Absent,
@@ -219,26 +123,27 @@
             awaiting: None,
             beaten: time::Tick(0),
             members: BTreeMap::new(),
-            tombs: Tombs::default(),
+            tombs: tombs::Tombs::default(),
         }
     }
 
     /// Takes one input and appends what is to be done.
-    pub fn step(&mut self, now: time::Tick, input: Input, out: &mut Out) {
+    pub fn step(&mut self, now: time::Tick, input: step::Input, out: &mut Out) {
         self.check_lease(now, out);
         match input {
-            Input::Connected => self.connected(now, out),
-            Input::Disconnected => self.disconnected(),
-            Input::Down(down) => self.down(now, down, out),
-            Input::Announced(announcement) => self.announced(now, &announcement, out),
-            Input::Swept(ok) => self.swept(now, ok, out),
-            Input::Begun(task, begun) => self.begun(now, task, begun, out),
-            Input::Watched(task, seen) => self.watched(now, task, seen, out),
-            Input::Fetched(attempt, fetched) => self.fetched(now, attempt, fetched, out),
-            Input::Delivered(attempt) => self.delivered(now, attempt),
-            Input::Leave => self.stopping = true,
-            Input::StopAll(grace) => self.stop_all(now, grace, out),
-            Input::Tick => self.tick(now, out),
+            step::Input::Connected => self.connected(now, out),
+            step::Input::Disconnected => self.disconnected(),
+            step::Input::Down(down) => self.down(now, down, out),
+            step::Input::Announced(announcement) => self.announced(now, &announcement, out),
+            step::Input::Swept(ok) => self.swept(now, ok, out),
+            step::Input::Begun(task, begun) => self.begun(now, task, begun, out),
+            step::Input::Watched(task, seen) => self.watched(now, task, seen, out),
+            step::Input::Stopped(task, seen) => self.stopped(now, task, seen, out),
+            step::Input::Fetched(attempt, fetched) => self.fetched(now, attempt, fetched, out),
+            step::Input::Delivered(attempt) => self.delivered(now, attempt),
+            step::Input::Leave => self.stopping = true,
+            step::Input::StopAll(grace) => self.stop_all(now, grace, out),
+            step::Input::Tick => self.tick(now, out),
         }
         self.check_leaving(now, out);
         self.check_announce(now, out);
@@ -264,11 +169,17 @@
         self.revision
     }
 
-    /// Whether nothing is left that control has not taken note of.
+    /// Whether every attempt has ended, and control has stored its end.
     pub fn idle(&self) -> bool {
         self.members.is_empty()
     }
 
+    /// Whether the leader has taken note of the worker as it stands.
+    pub fn settled(&self) -> bool {
+        let told = self.connected && !self.announce && self.awaiting.is_none();
+        self.backend.is_none() || told
+    }
+
     /// Tasks that take up room.
     pub fn occupied(&self) -> u32 {
         let members = self.members.values().filter(|member| member.occupies());
@@ -288,11 +199,12 @@
             self.granted = self.granted.max(expires);
         }
         let lease = if valid { self.holder.remaining(now) } else { time::Millis(0) };
-        contract::Lease { epoch: self.holder.epoch().0, lease_ms: lease.0, repeat_ms: REPEAT.0 }
+        contract::Lease { fence: self.fence, lease_ms: lease.0, repeat_ms: REPEAT.0 }
     }
 
     fn connected(&mut self, now: time::Tick, out: &mut Out) {
         self.connected = true;
+        self.unanswered = None;
         self.announce = true;
         self.beat(now, out);
         self.report_all(now, out);
@@ -300,10 +212,12 @@
 
     fn disconnected(&mut self) {
         self.connected = false;
+        self.unanswered = None;
         self.awaiting = None;
     }
 
     fn down(&mut self, now: time::Tick, down: agent::Down, out: &mut Out) {
+        self.unanswered = None;
         match down {
             agent::Down::Welcome { .. } | agent::Down::NotLeader { .. } => {}
             agent::Down::Registered { epoch, .. } => self.registered(now, ids::Epoch(epoch), out),
@@ -313,7 +227,7 @@
             }
             agent::Down::Fenced { epoch } => {
                 if self.holder.fence(ids::Epoch(epoch)) {
-                    out.push(Output::Log(event::agent::FENCED, format!("epoch={epoch}")));
+                    out.push(step::Output::Log(event::agent::FENCED, format!("epoch={epoch}")));
                     self.announce = true;
                     self.check_lease(now, out);
                 }
@@ -339,7 +253,7 @@
         self.awaiting = None;
         if self.holder.register(epoch) {
             self.first_epoch.get_or_insert(epoch);
-            out.push(Output::Log(event::agent::REGISTERED, format!("epoch={epoch}")));
+            out.push(step::Output::Log(event::agent::REGISTERED, format!("epoch={epoch}")));
             self.check_lease(now, out);
         }
         self.beat(now, out);
@@ -351,7 +265,7 @@
         if self.leased && !valid {
             self.leased = false;
             let epoch = self.holder.epoch();
-            out.push(Output::Log(event::agent::LEASE_LOST, format!("epoch={epoch}")));
+            out.push(step::Output::Log(event::agent::LEASE_LOST, format!("epoch={epoch}")));
             self.lose_all(now, "the lease ended", out);
         }
     }
@@ -365,7 +279,7 @@
                 self.leaving = Some(now);
                 if self.backend.is_some() {
                     let details = format!("agent={} backend={said}", self.stopping);
-                    out.push(Output::Log(event::agent::LEAVING, details));
+                    out.push(step::Output::Log(event::agent::LEAVING, details));
                 }
             }
             (false, Some(_)) => self.leaving = None,
@@ -382,15 +296,16 @@
             return;
         }
         let swept = matches!(self.presence, Presence::Present | Presence::Absent);
-        let clean = self.holder.valid(now) || !self.members.values().any(Member::active);
+        let clean = self.holder.valid(now) || !self.members.values().any(member::Member::active);
         let Some(backend) = &self.backend else { return };
         if !swept || !clean {
             return;
         }
         self.announce = false;
         self.awaiting = Some(now);
+        self.unanswered.get_or_insert(now);
         let leaving = self.leaving.is_some();
-        out.push(Output::Send(agent::Up::Announce { spec: backend.spec.clone(), leaving }));
+        out.push(step::Output::Send(agent::Up::Announce { spec: backend.spec.clone(), leaving }));
     }
 
     fn announced(&mut self, now: time::Tick, announcement: &contract::Announcement, out: &mut Out) {
@@ -407,8 +322,8 @@
 
     fn sweep(&mut self, out: &mut Out) {
         self.presence = Presence::Sweeping;
-        let keep = self.members.values().flat_map(Member::keys).collect();
-        out.push(Output::Sweep { keep });
+        let keep = self.members.values().flat_map(member::Member::keys).collect();
+        out.push(step::Output::Sweep { keep });
     }
 
     fn swept(&mut self, now: time::Tick, ok: bool, out: &mut Out) {
@@ -417,12 +332,13 @@
         }
         let event = if ok { event::agent::BACKEND_PRESENT } else { event::agent::SWEEP_FAILED };
         let worker = self.worker().unwrap_or_default();
-        out.push(Output::Log(event, format!("worker={worker}")));
+        out.push(step::Output::Log(event, format!("worker={worker}")));
         self.presence = if ok { Presence::Present } else { Presence::Unswept(now + SWEEP_PAUSE) };
     }
 
     fn tick(&mut self, now: time::Tick, out: &mut Out) {
         self.check_silence(now, out);
+        self.check_session(now, out);
         if let Presence::Unswept(until) = self.presence
             && now >= until
         {
@@ -441,20 +357,31 @@
         }
         self.presence = Presence::Absent;
         let worker = backend.spec.name.clone();
-        out.push(Output::Log(event::agent::BACKEND_GONE, format!("worker={worker}")));
+        out.push(step::Output::Log(event::agent::BACKEND_GONE, format!("worker={worker}")));
         self.lose_all(now, "the backend server fell silent", out);
     }
 
+    /// Drops a session on which nothing is answered: the leader, or the way to it, may be gone
+    /// without a sign, and the lease leaves time to find the next one.
+    fn check_session(&mut self, now: time::Tick, out: &mut Out) {
+        let silent = self.unanswered.is_some_and(|since| now - since >= SESSION_SILENCE);
+        if self.connected && silent {
+            self.disconnected();
+            out.push(step::Output::Reconnect);
+        }
+    }
+
     /// Asks for the lease to be renewed, where there is one to renew.
     fn beat(&mut self, now: time::Tick, out: &mut Out) {
         if !self.connected || self.holder.fenced() {
             return;
         }
         self.beaten = now;
+        self.unanswered.get_or_insert(now);
         let sequence = self.holder.heartbeat(now);
         let attempts = self.members.keys().map(|attempt| (*attempt).into()).collect();
         let usage = self.backend.as_ref().map(|backend| backend.usage).unwrap_or_default();
-        out.push(Output::Send(agent::Up::Heartbeat {
+        out.push(step::Output::Send(agent::Up::Heartbeat {
             sequence,
             epoch: self.holder.epoch().0,
             revision: self.revision.0,
--- a/src/core/placement/fit.rs
+++ b/src/core/placement/fit.rs
@@ -10,6 +10,12 @@
 /// The most workers looked at for a job that takes one worker.
 const MAX_PROBES: usize = 2048;
 
+/// The most racks of a data centre looked at for such a job before the workers are.
+const MAX_RACKS: usize = 64;
+
+/// The racks with equal room among which the speed decides, in each data centre.
+const MAX_TIES: usize = 16;
+
 /// A place: workers by their position in the fleet, with the number of tasks on each.
 pub type Place = Vec<(usize, u32)>;
 
@@ -23,6 +29,9 @@
     pub room: fleet::Room,
     /// Whether slower workers are taken first.
     pub slow_first: bool,
+    /// Whether a slot is left on each worker for each free accelerator, so that work without
+    /// accelerators strands none; [`find`] tries this first by itself.
+    pub thrifty: bool,
     /// Workers that must not be taken.
     pub skip: &'a dyn Fn(usize) -> bool,
 }
@@ -32,16 +41,36 @@
         i64::try_from(self.shape.total()).unwrap_or(i64::MAX)
     }
 
+    /// The order in which speeds are taken.
+    fn speed_rank(&self, speed: u32) -> i64 {
+        let speed = i64::from(speed);
+        if self.slow_first { speed } else { -speed }
+    }
+
     fn tasks_on(&self, fleet: &fleet::Fleet, worker: usize) -> u32 {
         if !fleet.usable(worker) || !fleet.offers(worker, self.service) || (self.skip)(worker) {
             return 0;
         }
-        fleet.room(worker, self.room).tasks(self.shape.accelerators)
+        let room = fleet.room(worker, self.room);
+        let tasks = room.tasks(self.shape.accelerators);
+        if !self.thrifty {
+            return tasks;
+        }
+        let free = fleet.room(worker, fleet::Room::Free);
+        let beyond = (room.slots.min(free.slots) - free.accelerators.max(0)).max(0);
+        tasks.min(u32::try_from(beyond).unwrap_or(u32::MAX))
     }
 }
 
 /// The best place for the shape, if there is one now.
 pub fn find(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
+    if ask.shape.accelerators > 0 {
+        return find_in(fleet, ask);
+    }
+    find_in(fleet, &Ask { thrifty: true, ..*ask }).or_else(|| find_in(fleet, ask))
+}
+
+fn find_in(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
     let tight = match ask.shape.tasks {
         1 => shape::Adjacency::Worker,
         _ => ask.shape.adjacency,
@@ -65,14 +94,16 @@
         (0..fleet.pools.len()).filter(|&pool| offers(&fleet.pools[pool])).collect();
     pools.sort_by_key(|&pool| {
         let pool = &fleet.pools[pool];
-        let speed = i64::from(pool.speed);
-        (pool.trust, if ask.slow_first { speed } else { -speed })
+        (pool.trust, ask.speed_rank(pool.speed))
     });
     pools
 }
 
 fn on_worker(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
     let tasks = ask.shape.tasks;
+    if let Some(worker) = in_fullest_rack(fleet, ask) {
+        return Some(vec![(worker, tasks)]);
+    }
     for pool in pools(fleet, ask) {
         let worker = fleet
             .fitting(pool, ask.room, ask.wanted())
@@ -85,20 +116,49 @@
     None
 }
 
+/// The best fit of a good worker in the rack with the least room, among the first racks looked at.
+fn in_fullest_rack(fleet: &fleet::Fleet, ask: &Ask) -> Option<usize> {
+    let fits = |worker: &usize| {
+        fleet.workers[*worker].trust == fleet::Trust::Good
+            && ask.tasks_on(fleet, *worker) >= ask.shape.tasks
+    };
+    let best_in = |rack: usize| {
+        let workers = fleet.racks[rack].workers.iter().copied().filter(fits);
+        workers.min_by_key(|&worker| (fleet.room(worker, ask.room).accelerators, worker))
+    };
+    let best_of = |center: usize| {
+        fleet
+            .racks_from(center, ask.room, ask.wanted())
+            .take(MAX_RACKS)
+            .find_map(|(room, rack)| Some((room, best_in(rack)?)))
+    };
+    let centers = 0..fleet.centers.len();
+    centers.filter_map(best_of).min().map(|(_, worker)| worker)
+}
+
 fn on_rack(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
-    let mut best: Option<(i64, Place)> = None;
+    let mut best: Option<(i64, i64, Place)> = None;
     for center in 0..fleet.centers.len() {
+        let mut ties = MAX_TIES;
         for (room, rack) in fleet.racks_from(center, ask.room, ask.wanted()) {
-            if best.as_ref().is_some_and(|(least, _)| *least <= room) {
+            if ties == 0 || best.as_ref().is_some_and(|(least, ..)| *least < room) {
                 break;
             }
-            if let Some(place) = fill_one_speed(fleet, ask, &fleet.racks[rack].workers) {
-                best = Some((room, place));
-                break;
+            let Some(place) = fill_one_speed(fleet, ask, &fleet.racks[rack].workers) else {
+                continue;
+            };
+            ties -= 1;
+            let speed = ask.speed_rank(slowest(fleet, &place));
+            if best.as_ref().is_none_or(|(least, fast, _)| (room, speed) < (*least, *fast)) {
+                best = Some((room, speed, place));
             }
         }
     }
-    best.map(|(_, place)| place)
+    best.map(|(.., place)| place)
+}
+
+fn slowest(fleet: &fleet::Fleet, place: &Place) -> u32 {
+    place.iter().map(|&(worker, _)| fleet.workers[worker].speed).min().unwrap_or(0)
 }
 
 fn on_center(fleet: &fleet::Fleet, ask: &Ask) -> Option<Place> {
@@ -153,9 +213,7 @@
     }
     let mut speeds: Vec<_> =
         by_speed.iter().filter(|(_, tasks)| **tasks >= wanted).map(|(key, _)| *key).collect();
-    speeds.sort_by_key(|&(trust, speed)| {
-        (trust, if ask.slow_first { i64::from(speed) } else { -i64::from(speed) })
-    });
+    speeds.sort_by_key(|&(trust, speed)| (trust, ask.speed_rank(speed)));
     if let Some(&(trust, speed)) = speeds.first() {
         able.retain(|&(worker, _)| {
             fleet.workers[worker].trust == trust && fleet.workers[worker].speed == speed
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -5,3 +5,4 @@
 pub mod demo;
 pub mod local;
 pub mod standin;
+pub mod store;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,8 +1,19 @@
 //! The integration tests, one binary. A module a matter; `support` holds the small fakes.
 
 mod agent;
+mod agent_faults;
+mod agent_model;
+mod agent_process;
+mod agent_state;
+mod cli;
+mod consensus;
+mod consensus_wire;
+mod consensus_world;
 mod entry;
+mod entry_contract;
 mod entry_faults;
+mod entry_page;
+mod entry_process;
 mod gang;
 mod lease;
 mod ledger;
@@ -19,7 +30,10 @@
 mod replica_support;
 mod settings;
 mod settings_examples;
+mod store;
+mod store_disk;
 mod support;
 mod telemetry;
 mod verdict;
+mod whole;
 mod wire;
--- a/tests/testsuite/process_ticket.rs
+++ b/tests/testsuite/process_ticket.rs
@@ -55,7 +55,10 @@
         cluster
             .until("a leader answers", async || cluster.operate(1, "/v1/status").await.is_some())
             .await;
-        while answer.as_ref().is_none_or(|answer: &support::deployment::client::Response| reason(answer) == 0) {
+        while answer
+            .as_ref()
+            .is_none_or(|answer: &support::deployment::client::Response| reason(answer) == 0)
+        {
             answer = cluster.ticket(0, &last).await;
         }
         assert_eq!(reason(&answer.expect("a response")), REUSED);
