--- a/tests/testsuite/process.rs
+++ b/tests/testsuite/process.rs
@@ -2,6 +2,9 @@
 
 use std::time;
 
+use hemlockcleat::standin::record;
+use rstest::rstest;
+
 use crate::support;
 use crate::support::deployment::checker;
 use crate::support::deployment::cluster;
@@ -37,3 +40,52 @@
         assert!(checker::count(&words, &cluster::KINDS, "done") < 30, "{words:?}");
     });
 }
+
+fn run(task: &str, end: record::End) -> record::Run {
+    record::Run {
+        task: task.to_owned(),
+        worker: "worker-0".to_owned(),
+        service: cluster::SERVICE.to_owned(),
+        kind: cluster::ONCE.to_owned(),
+        key: "key".to_owned(),
+        gang: 1,
+        accelerators: 1,
+        started: 1,
+        ended: Some(2),
+        end: Some(end),
+    }
+}
+
+fn told(word: &str, answer: &str) -> checker::Told {
+    checker::Told { word: word.to_owned(), retryable: false, answer: answer.into() }
+}
+
+const OWN: &str = r#"{"key":"key","attempt":"7.1","payload":"{\"number\":0,\"run_ms\":20}"}"#;
+const OTHER: &str = r#"{"key":"other","attempt":"7.1","payload":"{\"number\":0,\"run_ms\":20}"}"#;
+
+#[rstest]
+#[case::done("done", OWN, &["7.1.0"])]
+#[case::in_doubt("may-have-run", "", &["7.1.0"])]
+#[case::not_run("not-run", "", &[])]
+fn checker_passes(#[case] word: &str, #[case] answer: &str, #[case] tasks: &[&str]) {
+    check_one(word, answer, tasks);
+}
+
+fn check_one(word: &str, answer: &str, tasks: &[&str]) {
+    let sent = checker::Sent::new("key", cluster::ONCE);
+    let record: Vec<_> = tasks.iter().map(|task| run(task, record::End::Done)).collect();
+    checker::check_one(&sent, &told(word, answer), &record);
+}
+
+#[rstest]
+#[case::twice("done", OWN, &["7.1.0", "7.2.0"])]
+#[case::same_task_twice("done", OWN, &["7.1.0", "7.1.0"])]
+#[case::not_run_but_ran("not-run", "", &["7.1.0"])]
+#[case::crossed("done", OTHER, &["7.1.0"])]
+#[case::never_ran("done", OWN, &[])]
+#[case::other_attempt("done", OWN, &["8.1.0"])]
+#[case::cut_short("done", "{\"key\":\"key\"", &["7.1.0"])]
+#[should_panic]
+fn checker_catches(#[case] word: &str, #[case] answer: &str, #[case] tasks: &[&str]) {
+    check_one(word, answer, tasks);
+}
--- a/tests/testsuite/support/deployment/checker.rs
+++ b/tests/testsuite/support/deployment/checker.rs
@@ -24,6 +24,11 @@
 }
 
 impl Sent {
+    /// A request that has not been answered.
+    pub fn new(key: &str, kind: &'static str) -> Self {
+        Self { key: key.to_owned(), kind, request: request(0, kind, 20), first: None }
+    }
+
     /// The request's key.
     pub fn key(&self) -> &str {
         &self.key
@@ -73,13 +78,13 @@
 
 /// How one request ended, as its caller learns it in the end.
 #[derive(Debug)]
-struct Told {
+pub struct Told {
     /// `done`, or the verdict of the refusal.
-    word: String,
+    pub word: String,
     /// Whether the same request may be sent again.
-    retryable: bool,
+    pub retryable: bool,
     /// The answer's bytes.
-    answer: Vec<u8>,
+    pub answer: Vec<u8>,
 }
 
 /// Requests by kind of work and by how they ended.
@@ -162,7 +167,8 @@
     Told { word: "done".to_owned(), retryable: false, answer }
 }
 
-fn check_one(sent: &Sent, told: &Told, record: &[record::Run]) {
+/// Holds what one caller was told against what ran.
+pub fn check_one(sent: &Sent, told: &Told, record: &[record::Run]) {
     let key = &sent.key;
     let runs: Vec<_> = record.iter().filter(|run| run.key == *key).collect();
     let attempts: BTreeSet<_> = runs.iter().map(|run| run.task.as_str()).collect();
--- a/tests/testsuite/support/deployment/cluster.rs
+++ b/tests/testsuite/support/deployment/cluster.rs
@@ -279,6 +279,13 @@
             self.ticket(0, &first_ticket()).await.is_some_and(|response| response.status == 200)
         })
         .await;
+        for entry in 0..self.entries.len() {
+            self.until("the first ticket is in force at the entry", async || {
+                let status = self.operate(entry, "/v1/status").await;
+                status.is_some_and(|status| status["entry_revision"] == status["revision"])
+            })
+            .await;
+        }
     }
 
     /// Workers whose agents hold a lease, as entry 0 tells; none if it can't.
