Reach the store subcommands from the operator command

Cause: hemlockcleat store inspect and verify were written but not listed, so the command line refused them (found by trying the operations page as it stands). Ruled out: leaving them off the page; operators need them for back-ups. Change: two lines list and run the subcommand; a process test runs both on the data folder of a stopped replica. Before: 'unrecognized subcommand'.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -91,6 +91,7 @@
         .subcommand(request::cli())
         .subcommand(stand_in::cli())
         .subcommand(status::cli())
+        .subcommand(store::cli())
         .subcommand(ticket::cli())
         .subcommand(worker::cli());
     Globals::augment_args(command)
@@ -141,6 +142,7 @@
         Some(("request", args)) => request::exec(&context, args).await,
         Some(("stand-in", args)) => stand_in::exec(args).await,
         Some(("status", _)) => status::exec(&context).await,
+        Some(("store", args)) => store::exec(&context, args),
         Some(("ticket", args)) => ticket::exec(&context, args).await,
         Some(("worker", args)) => worker::exec(&context, args).await,
         _ => Err(error::Error::Usage("name a subcommand; see --help".to_owned())),
--- a/tests/testsuite/process_replicas.rs
+++ b/tests/testsuite/process_replicas.rs
@@ -1,6 +1,7 @@
 //! Control replicas that lose their disk, are replaced, or come back far behind.
 
 use std::fs;
+use std::process;
 use std::time;
 
 use serde_json::json;
@@ -29,6 +30,15 @@
     checker::send(&cluster.caller(), prefix, COUNT, 20, WAIT).await
 }
 
+/// Whether `hemlockcleat store` does not object to the data folder of a stopped replica.
+fn verified(cluster: &Cluster, replica: u64, action: &str) -> bool {
+    let command = process::Command::new(env!("CARGO_BIN_EXE_hemlockcleat"))
+        .args(["store", action])
+        .arg(cluster.data_folder(replica))
+        .output();
+    command.expect("the command runs").status.success()
+}
+
 fn wipe(cluster: &Cluster, replica: u64) {
     fs::remove_dir_all(cluster.data_folder(replica)).expect("the data folder is there");
 }
@@ -89,6 +99,9 @@
         let mut cluster = start().await;
         let behind = (cluster.leader().await + 1) % 3;
         cluster.controls[behind].kill();
+        for action in ["verify", "inspect"] {
+            assert!(verified(&cluster, behind as u64 + 1, action), "store {action}");
+        }
         let entry = cluster.entries[1].id();
         for relay in &cluster.relays {
             relay.set(entry, relay::Rule::BLACKHOLE).await;
