Name the replica that leads in the group's state

Cause: the state named the replica with the highest confirmed entry as leader; where all are equal that is the last of the list, not the leader. Change: the proposer knows its own replica, and the state names that; tests that strike the leader now strike it. Before: status_names_the_leader failed against the old rule; tests of a frozen or cut leader had struck a follower.

--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -104,7 +104,9 @@
             entry::Call::Status => {
                 let lead = self.proposer.shared.lead.borrow();
                 let lead = lead.as_ref().ok_or(NotLeader)?;
-                entry::Reply::Status(report::status(&ledger, lead, self.proposer.log.view()))
+                let leader = self.proposer.replica;
+                let view = self.proposer.log.view();
+                entry::Reply::Status(report::status(&ledger, lead, leader, view))
             }
             entry::Call::Hours { from, until } => {
                 let now = self.proposer.shared.now().wall;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -69,7 +69,11 @@
         let machine = machine_state::LedgerMachine::new(shared.clone());
         let machine = rc::Rc::new(cell::RefCell::new(machine));
         let replica = replica::Replica::start(&settings, machine).await?;
-        let proposer = proposer::Proposer { log: replica.clone(), shared };
+        let proposer = proposer::Proposer {
+            replica: ids::ReplicaKey(settings.replica),
+            log: replica.clone(),
+            shared,
+        };
         let router = Router {
             proposer: proposer.clone(),
             replica: replica.clone(),
--- a/src/control/proposer.rs
+++ b/src/control/proposer.rs
@@ -5,6 +5,7 @@
 
 use crate::control::machine;
 use crate::control::machine_state;
+use crate::core::ids;
 use crate::core::ledger::command;
 use crate::core::ledger::outcome;
 use crate::core::verdict;
@@ -17,6 +18,8 @@
 /// Proposes commands to the replicated log.
 #[derive(Clone)]
 pub struct Proposer {
+    /// This replica.
+    pub replica: ids::ReplicaKey,
     /// The log.
     pub log: rc::Rc<dyn machine::Log>,
     /// The state that entries are applied to.
--- a/src/control/report.rs
+++ b/src/control/report.rs
@@ -97,9 +97,9 @@
 pub fn status(
     ledger: &state::Ledger,
     lead: &lead::Lead,
+    leader: ids::ReplicaKey,
     view: machine::GroupView,
 ) -> entry::Status {
-    let leader = view.peers.iter().max_by_key(|peer| peer.matched).map_or(0, |peer| peer.key.0);
     let committed = view.committed;
     let replicas = view.peers.into_iter().map(|peer| entry::Replica {
         key: peer.key.0,
@@ -109,7 +109,7 @@
     });
     let count = |phase| ledger.table.jobs.values().filter(|job| job.phase == phase).count() as u64;
     entry::Status {
-        leader,
+        leader: leader.0,
         term: lead.term.0,
         revision: ledger.config.revision.0,
         committed: committed.0,
--- a/tests/testsuite/process.rs
+++ b/tests/testsuite/process.rs
@@ -41,6 +41,20 @@
     });
 }
 
+#[test]
+fn status_names_the_leader() {
+    let _turn = daemon::turn();
+    support::run(async {
+        let mut cluster = cluster::Cluster::start(cluster::Size { entries: 1, workers: 1 }).await;
+        let first = cluster.leader().await;
+        assert!(cluster.led_last(first), "it has logged that it leads");
+        cluster.controls[first].kill();
+        let next = cluster.leader().await;
+        assert_ne!(next, first);
+        assert!(cluster.led_last(next), "it has logged that it leads");
+    });
+}
+
 fn run(task: &str, end: record::End) -> record::Run {
     record::Run {
         task: task.to_owned(),
