--- a/tests/testsuite/support/daemon.rs
+++ b/tests/testsuite/support/daemon.rs
@@ -1,125 +1,145 @@
-//! A daemon as a process of its own: started with settings, signalled, and watched.
+//! The daemons as child processes: started, signalled by their own ids, and always ended.
 
 use std::fs;
 use std::net;
+use std::path;
 use std::process;
+use std::sync;
+use std::sync::atomic;
 use std::time;
 
-use rustix::process as signals;
+/// The first port that tests try; below the ports that the system gives out by itself.
+const FIRST_PORT: u16 = 10_000;
 
-/// How long a daemon may take to open its port, and to end.
-const PATIENCE: time::Duration = time::Duration::from_secs(20);
+/// Ports that tests may use.
+const PORTS: u16 = 20_000;
 
-/// The pause before a daemon is looked at again.
-const PAUSE: time::Duration = time::Duration::from_millis(10);
+/// Held by whoever runs daemons: one deployment at a time, so that none starves another.
+static TURN: sync::Mutex<()> = sync::Mutex::new(());
 
-/// Processor time is counted in so many parts of a second.
-const TICKS: f64 = 100.0;
+/// Waits for this test's turn to run daemons.
+pub fn turn() -> sync::MutexGuard<'static, ()> {
+    // A test that failed in its turn has ended its daemons all the same.
+    TURN.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+static NEXT_PORT: atomic::AtomicU16 = atomic::AtomicU16::new(0);
+
+/// A loopback address whose port nobody listens on, not given out before in this process.
+pub fn free_addr() -> net::SocketAddr {
+    // Different test processes start at different ports.
+    let offset = (process::id() % 199) as u16 * 100;
+    loop {
+        let next = NEXT_PORT.fetch_add(1, atomic::Ordering::Relaxed);
+        let port = FIRST_PORT + offset.wrapping_add(next) % PORTS;
+        let addr = net::SocketAddr::from(([127, 0, 0, 1], port));
+        if net::TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+}
+
+/// A program of the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Program {
+    /// `hemlockcleat-control`.
+    Control,
+    /// `hemlockcleat-entry`.
+    Entry,
+    /// `hemlockcleat-agent`.
+    Agent,
+}
+
+impl Program {
+    fn path(self) -> &'static str {
+        match self {
+            Program::Control => env!("CARGO_BIN_EXE_hemlockcleat-control"),
+            Program::Entry => env!("CARGO_BIN_EXE_hemlockcleat-entry"),
+            Program::Agent => env!("CARGO_BIN_EXE_hemlockcleat-agent"),
+        }
+    }
+}
 
+/// A running daemon; killed when it is dropped.
 pub struct Daemon {
+    name: String,
     child: process::Child,
-    addr: net::SocketAddr,
-    folder: tempfile::TempDir,
+    log: path::PathBuf,
 }
 
 impl Daemon {
-    /// Starts a program with settings, and waits until it says which address it listens on.
-    pub async fn start(program: &str, settings: &serde_json::Value) -> Self {
-        let folder = tempfile::tempdir().expect("a folder");
-        let file = folder.path().join("settings.json");
-        fs::write(&file, settings.to_string()).expect("settings");
-        let log = folder.path().join("log");
-        let child = process::Command::new(program)
+    /// Writes the settings to `folder` and starts the program with them; its log goes there too.
+    pub fn start(
+        program: Program,
+        name: &str,
+        folder: &path::Path,
+        settings: &serde_json::Value,
+    ) -> Self {
+        let file = folder.join(format!("{name}.json"));
+        fs::write(&file, settings.to_string()).expect("the settings are written");
+        let log = folder.join(format!("{name}.log"));
+        let errors = fs::OpenOptions::new().create(true).append(true).open(&log).expect("a log");
+        let child = process::Command::new(program.path())
             .arg(&file)
+            .stdin(process::Stdio::null())
             .stdout(process::Stdio::null())
-            .stderr(fs::File::create(&log).expect("a log"))
+            .stderr(errors)
             .spawn()
-            .expect("a process");
-        let since = time::Instant::now();
-        let addr = loop {
-            let text = fs::read_to_string(&log).expect("the log");
-            if let Some(addr) = find_addr(&text) {
-                break addr;
-            }
-            assert!(since.elapsed() < PATIENCE, "no address in the log: {text}");
-            tokio::time::sleep(PAUSE).await;
-        };
-        Self { child, addr, folder }
+            .expect("the program starts");
+        Self { name: name.to_owned(), child, log }
     }
 
-    pub fn addr(&self) -> net::SocketAddr {
-        self.addr
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
     }
 
-    /// What it has logged.
-    pub fn log(&self) -> String {
-        fs::read_to_string(self.folder.path().join("log")).expect("the log")
-    }
-
-    fn signal(&self, signal: signals::Signal) {
-        let pid = signals::Pid::from_child(&self.child);
-        signals::kill_process(pid, signal).expect("a signal");
+    /// Sends a signal such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, signal: &str) {
+        let sent = process::Command::new("kill")
+            .args(["-s", signal, &self.child.id().to_string()])
+            .status()
+            .expect("kill runs");
+        assert!(sent.success(), "{} takes {signal}", self.name);
     }
 
-    pub fn freeze(&self) {
-        self.signal(signals::Signal::STOP);
+    /// Ends it without warning, and waits until it is gone.
+    pub fn kill(mut self) {
+        self.end();
     }
 
-    pub fn thaw(&self) {
-        self.signal(signals::Signal::CONT);
-    }
-
-    pub fn terminate(&self) {
-        self.signal(signals::Signal::TERM);
-    }
-
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Waits for its end.
-    pub async fn ended(&mut self) -> process::ExitStatus {
-        let since = time::Instant::now();
-        loop {
-            if let Some(status) = self.child.try_wait().expect("a child") {
-                return status;
+    /// Asks for the planned stop and waits for it; true if it ended by itself with success.
+    pub async fn stop(mut self, bound: time::Duration) -> bool {
+        self.signal("TERM");
+        let deadline = tokio::time::Instant::now() + bound;
+        while tokio::time::Instant::now() < deadline {
+            if let Some(status) = self.child.try_wait().expect("its own child") {
+                return status.success();
             }
-            assert!(since.elapsed() < PATIENCE, "it does not end");
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
         }
+        false
     }
 
-    fn proc(&self, file: &str) -> String {
-        fs::read_to_string(format!("/proc/{}/{file}", self.child.id())).expect("a process")
-    }
-
-    /// The most memory it has held, in KiB.
-    pub fn memory(&self) -> u64 {
-        let status = self.proc("status");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let number = line.and_then(|line| line.trim().split(' ').next());
-        number.and_then(|number| number.parse().ok()).expect("its memory")
+    /// The log so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
     }
 
-    /// The processor time it has used, in seconds.
-    pub fn processor(&self) -> f64 {
-        let stat = self.proc("stat");
-        let rest = stat.rsplit(')').next().expect("fields");
-        let fields: Vec<f64> = rest.split(' ').filter_map(|field| field.parse().ok()).collect();
-        // Behind the name and the state, which are no numbers, user and system time are 10 and 11.
-        (fields[10] + fields[11]) / TICKS
+    fn end(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        self.kill();
+        self.end();
+        if std::thread::panicking() {
+            let log = self.log();
+            let lines: Vec<_> = log.lines().collect();
+            let tail = &lines[lines.len().saturating_sub(12)..];
+            eprintln!("--- {}\n{}", self.name, tail.join("\n"));
+        }
     }
 }
-
-fn find_addr(log: &str) -> Option<net::SocketAddr> {
-    let rest = log.split("role=agent addr=").nth(1)?;
-    let end = rest.find(|c: char| !(c.is_ascii_digit() || c == '.' || c == ':'))?;
-    rest[..end].parse().ok()
-}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -2,7 +2,12 @@
 
 pub mod agent_bed;
 pub mod agent_control;
+pub mod agent_daemon;
+pub mod agent_relay;
 pub mod agents;
+pub mod checker;
+pub mod client;
+pub mod cluster;
 pub mod daemon;
 pub mod fake_control;
 pub mod http_client;
