--- a/tests/testsuite/process_replicas.rs
+++ b/tests/testsuite/process_replicas.rs
@@ -1,16 +1,17 @@
 //! Control replicas that lose their disk, are replaced, or come back far behind.
 
 use std::fs;
+use std::process;
 use std::time;
 
 use serde_json::json;
 
 use crate::support;
-use crate::support::checker;
-use crate::support::cluster;
-use crate::support::cluster::Cluster;
-use crate::support::daemon;
-use crate::support::relay;
+use crate::support::deployment::checker;
+use crate::support::deployment::cluster;
+use crate::support::deployment::cluster::Cluster;
+use crate::support::deployment::daemon;
+use crate::support::deployment::relay;
 
 /// Requests of one case.
 const COUNT: usize = 12;
@@ -29,6 +30,15 @@
     checker::send(&cluster.caller(), prefix, COUNT, 20, WAIT).await
 }
 
+/// Whether `hemlockcleat store` does not object to the data folder of a stopped replica.
+fn verified(cluster: &Cluster, replica: u64, action: &str) -> bool {
+    let command = process::Command::new(env!("CARGO_BIN_EXE_hemlockcleat"))
+        .args(["store", action])
+        .arg(cluster.data_folder(replica))
+        .output();
+    command.expect("the command runs").status.success()
+}
+
 fn wipe(cluster: &Cluster, replica: u64) {
     fs::remove_dir_all(cluster.data_folder(replica)).expect("the data folder is there");
 }
@@ -89,9 +99,12 @@
         let mut cluster = start().await;
         let behind = (cluster.leader().await + 1) % 3;
         cluster.controls[behind].kill();
+        for action in ["verify", "inspect"] {
+            assert!(verified(&cluster, behind as u64 + 1, action), "store {action}");
+        }
         let entry = cluster.entries[1].id();
         for relay in &cluster.relays {
-            relay.set(entry, relay::Rule::BLACKHOLE);
+            relay.set(entry, relay::Rule::BLACKHOLE).await;
         }
         for number in 2..2 + TICKETS {
             let ticket = json!({
--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/deployment/cluster.rs
@@ -10,9 +10,9 @@
 use serde_json::json;
 use sha2::Digest as _;
 
-use crate::support::client;
-use crate::support::daemon;
-use crate::support::relay;
+use crate::support::deployment::client;
+use crate::support::deployment::daemon;
+use crate::support::deployment::relay;
 
 /// The operators' token.
 const OPERATOR: &str = "operator";
@@ -279,6 +279,13 @@
             self.ticket(0, &first_ticket()).await.is_some_and(|response| response.status == 200)
         })
         .await;
+        for entry in 0..self.entries.len() {
+            self.until("the first ticket is in force at the entry", async || {
+                let status = self.operate(entry, "/v1/status").await;
+                status.is_some_and(|status| status["entry_revision"] == status["revision"])
+            })
+            .await;
+        }
     }
 
     /// Workers whose agents hold a lease, as entry 0 tells; none if it can't.
@@ -360,11 +367,11 @@
     }
 
     /// Silently cuts a replica off from its peers, both ways. Callers still reach it.
-    pub fn isolate(&self, index: usize) {
+    pub async fn isolate(&self, index: usize) {
         let rule = relay::Rule::BLACKHOLE;
         for other in (0..self.relays.len()).filter(|other| *other != index) {
-            self.relays[index].set(self.controls[other].id(), rule);
-            self.relays[other].set(self.controls[index].id(), rule);
+            self.relays[index].set(self.controls[other].id(), rule).await;
+            self.relays[other].set(self.controls[index].id(), rule).await;
         }
     }
 
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -8,15 +8,15 @@
 pub mod checker;
 pub mod client;
 pub mod cluster;
+use std::future;
+
 pub mod daemon;
+pub mod deployment;
 pub mod fake_control;
 pub mod http_client;
+pub mod ledger;
 pub mod plans;
 pub mod relay;
-
-use std::future;
-
-pub mod ledger;
 pub mod world;
 
 /// Runs a test body on the runtime that the daemons use.
