Hold the stand-in against the contract it stands for

Cause: the agent's proofs count only as far as the stand-in keeps to docs/BACKEND.md. Ruled out: nothing. Before: no test of the stand-in alone.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod replica_support;
 mod settings;
 mod settings_examples;
+mod standin;
 mod support;
 mod telemetry;
 mod verdict;
