Count and log how attempts end at an agent

Cause: event 507 and the metric of ended attempts were declared but never given; a heartbeat could grow with attempts that control had not forgotten. Ruled out: counting at each report (ends are reported again and again). Change: one output at the end of an attempt; the hop of a start records its outcome; a heartbeat tells of at most 64 attempts without tasks. Before: nothing counted. Conclusion: operators see ends by result.

--- a/src/agent/backend.rs
+++ b/src/agent/backend.rs
@@ -125,7 +125,10 @@
                 return state::Begun::Refused("the lease ended before the start".to_owned());
             }
             match hop.run(self.try_begin(task, prepare, lease.fence, hop.context())).await {
-                Tried::Settled(begun) => return begun,
+                Tried::Settled(begun) => {
+                    hop.outcome(word(&begun));
+                    return begun;
+                }
                 Tried::Again(detail) if clock.tick() >= last => {
                     return state::Begun::Refused(detail);
                 }
@@ -325,6 +328,14 @@
     }
 }
 
+fn word(begun: &state::Begun) -> &'static str {
+    match begun {
+        state::Begun::Accepted => "accepted",
+        state::Begun::Refused(_) => "refused",
+        state::Begun::Unknown(_) => "unknown",
+    }
+}
+
 fn trace_of(prepare: &agent::Prepare) -> trace::Context {
     trace::Context::try_from(prepare.trace.clone()).unwrap_or(trace::Context::NONE)
 }
--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -245,6 +245,10 @@
             state::Output::Reconnect => {
                 self.dropped.send_replace(self.sessions);
             }
+            state::Output::Over { attempt, word } => {
+                metrics::counter!(names::ATTEMPTS, "result" => word).increment(1);
+                event::agent::ATTEMPT_ENDED.log(format_args!("attempt={attempt} result={word}"));
+            }
             state::Output::Log(event, details) => event.log(format_args!("{details}")),
             output => {
                 if let Some((_, client)) = &self.client {
@@ -345,6 +349,7 @@
             state::Output::Send(_)
             | state::Output::Deliver { .. }
             | state::Output::Reconnect
+            | state::Output::Over { .. }
             | state::Output::Log(..) => None,
         }
     })
--- a/src/agent/state/member.rs
+++ b/src/agent/state/member.rs
@@ -382,6 +382,7 @@
     }
 
     fn end(&mut self, now: time::Tick, result: agent::TaskResult, out: &mut Out) {
+        out.push(step::Output::Over { attempt: self.attempt, word: word(&result) });
         self.phase = task::Phase::Ended(result);
         self.report(now, out);
     }
@@ -403,3 +404,14 @@
         });
     }
 }
+
+/// A result in a word, for logs and metrics.
+fn word(result: &agent::TaskResult) -> &'static str {
+    match result {
+        agent::TaskResult::Done(_) => "done",
+        agent::TaskResult::Failed(_) => "failed",
+        agent::TaskResult::Stopped => "stopped",
+        agent::TaskResult::NotStarted => "not-started",
+        agent::TaskResult::Unknown(_) => "unknown",
+    }
+}
--- a/src/agent/state/mod.rs
+++ b/src/agent/state/mod.rs
@@ -44,6 +44,9 @@
 /// How long the agent waits for a registration before it announces the worker again.
 const ANNOUNCE_RESEND: time::Millis = time::Millis::from_secs(2);
 
+/// Attempts without tasks that one heartbeat tells of at most; the others follow later.
+const MAX_TOLD: usize = 64;
+
 /// How long the agent waits after a failed look at the backend server's tasks.
 const SWEEP_PAUSE: time::Millis = time::Millis::from_secs(1);
 
@@ -379,7 +382,9 @@
         self.beaten = now;
         self.unanswered.get_or_insert(now);
         let sequence = self.holder.heartbeat(now);
-        let attempts = self.members.keys().map(|attempt| (*attempt).into()).collect();
+        let held = self.members.iter().filter(|(_, member)| member.occupies());
+        let over = self.members.iter().filter(|(_, member)| !member.occupies()).take(MAX_TOLD);
+        let attempts = held.chain(over).map(|(attempt, _)| (*attempt).into()).collect();
         let usage = self.backend.as_ref().map(|backend| backend.usage).unwrap_or_default();
         out.push(step::Output::Send(agent::Up::Heartbeat {
             sequence,
--- a/src/agent/state/step.rs
+++ b/src/agent/state/step.rs
@@ -113,6 +113,13 @@
         },
         /// Drop the session and look for the leader again: nothing comes on it any more.
         Reconnect,
+        /// Count an end that was reached just now.
+        Over {
+            /// The attempt.
+            attempt: ids::AttemptKey,
+            /// How it ended, in a word.
+            word: &'static str,
+        },
         /// Log an event.
         Log(event::Event, String),
     }
