--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -12,6 +12,7 @@
 use std::future;
 
 pub mod ledger;
+pub mod world;
 
 /// Runs a test body on the runtime that the daemons use.
 pub fn run<T>(body: impl future::Future<Output = T>) -> T {
