--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod replica_support;
 mod settings;
 mod settings_examples;
+mod standin;
 mod store;
 mod store_disk;
 mod support;
