--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod agent_faults;
 mod agent_model;
+mod agent_process;
 mod agent_state;
 mod cli;
 mod consensus;
@@ -28,4 +29,5 @@
 mod support;
 mod telemetry;
 mod verdict;
+mod whole;
 mod wire;
