--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -148,6 +148,7 @@
         let tickets = |call: &wire::Call| matches!(call, wire::Call::Ticket(_));
         assert!(!control.shared.calls.borrow().iter().any(tickets));
         let output = run_good(entry, &["ticket", "apply", file]).await;
+        assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
         assert_eq!(text(&output.stdout), "ticket 7 is in force at revision 7\n");
         assert!(control.shared.calls.borrow().iter().any(tickets));
     });
