Test late replies and a stop with an open request

Cause: a reply later than the caller's patience, and a request open while the entry stops, were not tested. Change: the fake control can answer late; two tests.

--- a/tests/testsuite/entry_contract.rs
+++ b/tests/testsuite/entry_contract.rs
@@ -144,7 +144,10 @@
         control.finish("swan-coast", "r1", &vec![7; 8 * 1024 * 1024]);
         let path = format!("{}/answer", cases::REQUEST);
         let bytes = head(&format!("GET {path} HTTP/1.1"), "");
-        let mut slow = tokio::net::TcpStream::connect(entry.addr()).await.expect("a connection");
+        // A receive buffer that the system grows could take the whole answer in.
+        let slow = tokio::net::TcpSocket::new_v4().expect("a socket");
+        slow.set_recv_buffer_size(64 * 1024).expect("a small buffer");
+        let mut slow = slow.connect(entry.addr()).await.expect("a connection");
         slow.write_all(bytes.as_bytes()).await.expect("sent");
         let mut first = [0; 1];
         slow.read_exact(&mut first).await.expect("the response begins");
@@ -154,7 +157,8 @@
         tokio::time::sleep(time::Duration::from_millis(900)).await;
         let mut rest = Vec::new();
         let _ = slow.read_to_end(&mut rest).await;
-        assert!(rest.len() < 8 * 1024 * 1024, "the slow client was waited for");
+        let length = rest.len();
+        assert!(length < 8 * 1024 * 1024, "the slow client was waited for: {length} bytes");
     });
 }
 
--- a/tests/testsuite/entry_faults.rs
+++ b/tests/testsuite/entry_faults.rs
@@ -374,3 +374,55 @@
         assert_eq!((sequence, counts[0].2), (2, 1));
     });
 }
+
+/// Answers the first submission after a while, the others at once.
+fn delay_first(control: &fake_control::FakeControl, after: time::Duration) {
+    let shared = rc::Rc::downgrade(&control.shared);
+    let mut first = true;
+    control.script(move |id, call| {
+        let wire::Call::Submit(_) = call else { return fake_control::Act::Usual };
+        if !std::mem::take(&mut first) {
+            return fake_control::Act::Usual;
+        }
+        let replies = shared.upgrade().expect("the fake lives").usual(id, call);
+        fake_control::Act::Later(after, replies)
+    });
+}
+
+#[test]
+fn submit_answered_late_crosses_nobody() {
+    cases::with_entry(async |control, entry| {
+        // Later than the patience of the test's entry.
+        delay_first(control, time::Duration::from_millis(1700));
+        let reply = cases::submit(entry, cases::REQUEST).await;
+        assert_eq!((reply.status, &reply.json()["verdict"]), (503, &"may-have-run".into()));
+        let other = "/v1/accounts/swan-coast/requests/other";
+        let reply = cases::submit(entry, other).await;
+        assert_eq!((reply.status, &reply.json()["key"]), (202, &"other".into()));
+    });
+}
+
+#[test]
+fn stop_lets_open_requests_end() {
+    support::run(async {
+        let control = fake_control::FakeControl::start().await;
+        let settings = cases::settings(&[control.addr()]);
+        let entry = entry::Entry::start(settings).await.expect("an entry");
+        cases::ready(&entry).await;
+        delay_first(&control, time::Duration::from_millis(300));
+        let addr = entry.addr();
+        let body = cases::submission().to_string();
+        let token = fake_control::TOKEN;
+        let submit = http_client::send(addr, "PUT", cases::REQUEST, token, &body);
+        let stop = async {
+            while control.submissions() == 0 {
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+            entry.stop().await;
+        };
+        let (reply, ()) = tokio::join!(submit, stop);
+        assert_eq!(reply.status, 202, "{reply:?}");
+        assert!(tokio::net::TcpStream::connect(addr).await.is_err());
+        control.stop().await;
+    });
+}
--- a/tests/testsuite/support/fake_control.rs
+++ b/tests/testsuite/support/fake_control.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net;
 use std::rc;
+use std::time;
 
 use futures_util::future::LocalBoxFuture;
 use hemlockcleat::net::stream;
@@ -21,6 +22,8 @@
     Usual,
     /// Send these messages instead.
     Send(Vec<wire::Down>),
+    /// Send these messages instead, after a while in which nothing else is done.
+    Later(time::Duration, Vec<wire::Down>),
     /// Close the stream.
     Close,
 }
@@ -205,6 +208,10 @@
                 let replies = match act {
                     Act::Usual => shared.usual(id, &body),
                     Act::Send(messages) => messages,
+                    Act::Later(after, messages) => {
+                        tokio::time::sleep(after).await;
+                        messages
+                    }
                     Act::Close => return,
                 };
                 for reply in replies {
