Prove each guard of the entry red when taken out

Cause: with the guard on the order of chunks taken out, and with the guard on the revision weakened, all tests passed. Ruled out: that the guards are idle. Chunks of equal bytes could be swapped unseen, and the older configuration of the test could be skipped by the fake. Change: answers of unequal chunks and a case of swapped ones; the test of the revision waits until the older one has been pushed and looks behind it.

--- a/tests/testsuite/entry_faults.rs
+++ b/tests/testsuite/entry_faults.rs
@@ -167,6 +167,8 @@
 enum Cut {
     /// A chunk is left out.
     Hole,
+    /// Two chunks come in the wrong order.
+    Swapped,
     /// The last chunk says that more follows.
     Endless,
     /// The answer ends early.
@@ -185,6 +187,10 @@
         Cut::Hole => {
             chunks.remove(1.min(chunks.len() - 1));
         }
+        Cut::Swapped => {
+            let last = chunks.len() - 1;
+            chunks.swap(0, 1.min(last));
+        }
         Cut::Endless | Cut::Short | Cut::Corrupt => {
             let last = chunks.pop();
             if let Some(wire::Down::Reply {
@@ -210,6 +216,11 @@
     wire::Down::Reply { id, body: wire::Reply::Chunk { offset, bytes, last } }
 }
 
+/// An answer of five chunks, no two of them equal.
+fn answer() -> Vec<u8> {
+    (0..4500u32).map(|index| (index / 7) as u8).collect()
+}
+
 /// Damages the first `count` answers, or all of them.
 fn damage(control: &fake_control::FakeControl, fault: Cut, answer: Vec<u8>, count: usize) {
     control.finish("swan-coast", "r1", &answer);
@@ -226,6 +237,7 @@
 
 #[rstest]
 #[case::hole(Cut::Hole)]
+#[case::swapped(Cut::Swapped)]
 #[case::endless(Cut::Endless)]
 #[case::short(Cut::Short)]
 #[case::corrupt(Cut::Corrupt)]
@@ -233,7 +245,7 @@
 #[case::closed(Cut::Closed)]
 fn answer_damaged_is_never_whole(#[case] fault: Cut) {
     cases::with_entry(async |control, entry| {
-        damage(control, fault, vec![7; 4500], usize::MAX);
+        damage(control, fault, answer(), usize::MAX);
         let reply = cases::get(entry, &format!("{}/answer", cases::REQUEST)).await;
         assert_eq!(reply.status, 200);
         assert!(!reply.whole, "a damaged answer of {} bytes passed", reply.body.len());
@@ -242,15 +254,16 @@
 
 #[rstest]
 #[case::hole(Cut::Hole)]
+#[case::swapped(Cut::Swapped)]
 #[case::short(Cut::Short)]
 #[case::endless(Cut::Endless)]
 #[case::closed(Cut::Closed)]
 fn answer_damaged_once_is_asked_for_again(#[case] fault: Cut) {
     cases::with_entry(async |control, entry| {
-        damage(control, fault, vec![7; 4500], 1);
+        damage(control, fault, answer(), 1);
         let reply = cases::get(entry, &format!("{}/answer", cases::REQUEST)).await;
         assert!(reply.whole);
-        assert_eq!(reply.body, vec![7; 4500]);
+        assert_eq!(reply.body, answer());
     });
 }
 
@@ -310,9 +323,11 @@
         let path = "/v1/accounts/newer/requests/x";
         while cases::get(entry, path).await.status != 404 {}
         push(2, "older");
-        // The push has arrived once a later one has.
-        push(4, "newer");
-        while cases::get(entry, "/v1/status").await.json()["entry_revision"] != 4 {}
+        while control.shared.pushed.get() != 2 {
+            tokio::task::yield_now().await;
+        }
+        // Its answer comes behind the push.
+        assert_eq!(cases::get(entry, "/v1/status").await.json()["entry_revision"], 3);
         assert_eq!(cases::get(entry, path).await.status, 404);
         let older = "/v1/accounts/older/requests/x";
         assert_eq!(cases::get(entry, older).await.status, 401);
--- a/tests/testsuite/support/fake_control.rs
+++ b/tests/testsuite/support/fake_control.rs
@@ -47,6 +47,8 @@
     pub leader: cell::RefCell<Option<String>>,
     pub leads: cell::Cell<bool>,
     pub script: cell::RefCell<Script>,
+    /// The revision that was pushed last.
+    pub pushed: cell::Cell<u64>,
     /// The configuration, pushed when it changes.
     pub config: watch::Sender<common::Config>,
     /// The hours.
@@ -108,6 +110,7 @@
             calls: cell::RefCell::default(),
             traces: cell::RefCell::default(),
             confirms: cell::Cell::new(true),
+            pushed: cell::Cell::new(0),
             refusals: cell::RefCell::default(),
             leader: cell::RefCell::default(),
             leads: cell::Cell::new(true),
@@ -183,6 +186,7 @@
             message = receiver.receive() => message,
             Ok(()) = config.changed() => {
                 let pushed = config.borrow_and_update().clone();
+                shared.pushed.set(pushed.revision);
                 sender.send(&wire::Down::Config(pushed)).await;
                 continue;
             }
