--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -11,10 +11,10 @@
 use crate::core::time as core_time;
 use crate::core::verdict;
 use crate::entry::answer;
-use crate::entry::document;
 use crate::entry::input;
 use crate::entry::reply;
 use crate::entry::state;
+use crate::entry::submission;
 use crate::entry::view;
 use crate::net::http;
 use crate::telemetry::metrics as names;
@@ -22,49 +22,6 @@
 use crate::wire::common;
 use crate::wire::entry as wire;
 
-/// The deadline sent for a kind of work that this entry does not know; control refuses it unless
-/// it knows the key, and then the deadline does not count.
-const UNKNOWN_DEADLINE: core_time::Millis = core_time::HOUR;
-
-/// The body of a submission.
-#[derive(Debug, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Submission {
-    service: String,
-    kind: String,
-    #[serde(default = "one")]
-    tasks: u32,
-    #[serde(default)]
-    accelerators: u32,
-    #[serde(default)]
-    adjacency: document::Adjacency,
-    run_time_ms: u64,
-    #[serde(default)]
-    deadline_ms: Option<u64>,
-    #[serde(default)]
-    due: Option<u64>,
-    #[serde(default)]
-    payload: Payload,
-}
-
-/// What the backend server gets: text as it is, other JSON in its compact form.
-#[derive(Debug, serde::Deserialize)]
-#[serde(untagged)]
-enum Payload {
-    Text(String),
-    Json(serde_json::Value),
-}
-
-impl Default for Payload {
-    fn default() -> Self {
-        Self::Text(String::new())
-    }
-}
-
-fn one() -> u32 {
-    1
-}
-
 /// The query of a caller's request.
 #[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -84,14 +41,10 @@
     pub key: String,
 }
 
-fn bad(detail: impl Into<String>) -> verdict::Refusal {
-    verdict::Refusal::not_run(verdict::Reason::BadRequest, detail)
-}
-
 impl Target {
     fn check(&self) -> Result<(), verdict::Refusal> {
         if self.key.is_empty() || self.key.len() > job::MAX_KEY {
-            return Err(bad(format!("the key must have 1 to {} bytes", job::MAX_KEY)));
+            return Err(input::bad(format!("the key must have 1 to {} bytes", job::MAX_KEY)));
         }
         Ok(())
     }
@@ -112,12 +65,13 @@
         Ok(query) => query,
         Err(refusal) => return reply::refused(&refusal),
     };
-    let submission = match input::json(&mut request, input::MAX_REQUEST, state.body_time()).await {
-        Ok(submission) => submission,
+    let read = input::json(&mut request, input::MAX_REQUEST, state.body_time()).await;
+    let body: submission::Submission = match read {
+        Ok(body) => body,
         Err(refusal) => return reply::refused(&honest(refusal, query)),
     };
     let started = tokio::time::Instant::now();
-    let response = match spec(state, &target, submission) {
+    let response = match body.into_spec(state, &target) {
         Ok(spec) => admitted(state, &target, spec, query, hop).await,
         Err(refusal) => reply::refused(&honest(refusal, query)),
     };
@@ -156,57 +110,6 @@
     refusal
 }
 
-fn spec(
-    state: &state::State,
-    target: &Target,
-    submission: Submission,
-) -> Result<job::Spec, verdict::Refusal> {
-    let shape = document::check_shape(
-        "request",
-        submission.tasks,
-        submission.accelerators,
-        submission.adjacency,
-    );
-    let payload = match submission.payload {
-        Payload::Text(text) => text.into_bytes(),
-        Payload::Json(value) => value.to_string().into_bytes(),
-    };
-    if payload.len() > job::MAX_PAYLOAD {
-        return Err(bad(format!("payload: must have at most {} bytes", job::MAX_PAYLOAD)));
-    }
-    if submission.run_time_ms == 0 {
-        return Err(bad("run_time_ms: must be 1 or more"));
-    }
-    let config = state.config()?;
-    let kind = config.kind(&submission.service, &submission.kind);
-    let deadline = deadline(submission.deadline_ms, submission.due, kind)?;
-    Ok(job::Spec {
-        account: target.account.clone(),
-        service: submission.service,
-        kind: submission.kind,
-        key: target.key.clone(),
-        shape: shape.map_err(|error| bad(error.to_string()))?,
-        run_time: core_time::Millis(submission.run_time_ms),
-        deadline,
-        payload,
-    })
-}
-
-fn deadline(
-    relative: Option<u64>,
-    due: Option<u64>,
-    kind: Option<&account::Kind>,
-) -> Result<core_time::Wall, verdict::Refusal> {
-    let now = state::now();
-    match (relative, due) {
-        (Some(_), Some(_)) => Err(bad("deadline_ms and due: give one of them")),
-        (Some(0), None) => Err(bad("deadline_ms: must be 1 or more")),
-        (Some(span), None) => Ok(now + core_time::Millis(span)),
-        (None, Some(due)) => Ok(core_time::Wall(due)),
-        (None, None) => Ok(now + kind.map_or(UNKNOWN_DEADLINE, |kind| kind.deadline)),
-    }
-}
-
 /// Sends a checked submission on to control if there is room for it.
 async fn admitted(
     state: &state::State,
--- a/src/entry/input.rs
+++ b/src/entry/input.rs
@@ -104,7 +104,8 @@
     (!text.chars().any(char::is_control)).then_some(text)
 }
 
-fn bad(detail: impl Into<String>) -> verdict::Refusal {
+/// A refusal of a malformed request.
+pub fn bad(detail: impl Into<String>) -> verdict::Refusal {
     verdict::Refusal::not_run(verdict::Reason::BadRequest, detail)
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -36,6 +36,7 @@
 mod seek;
 mod session;
 mod state;
+mod submission;
 mod tally;
 mod ticket;
 pub mod view;
--- /dev/null
+++ b/src/entry/submission.rs
@@ -0,0 +1,105 @@
+//! The body of a submission, and the request that it makes.
+
+use crate::core::account;
+use crate::core::ledger::job;
+use crate::core::time;
+use crate::core::verdict;
+use crate::entry::caller;
+use crate::entry::document;
+use crate::entry::input;
+use crate::entry::state;
+
+/// The deadline sent for a kind of work that this entry does not know; control refuses it unless
+/// it knows the key, and then the deadline does not count.
+const UNKNOWN_DEADLINE: time::Millis = time::HOUR;
+
+/// The body of a submission.
+#[derive(Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Submission {
+    service: String,
+    kind: String,
+    #[serde(default = "one")]
+    tasks: u32,
+    #[serde(default)]
+    accelerators: u32,
+    #[serde(default)]
+    adjacency: document::Adjacency,
+    run_time_ms: u64,
+    #[serde(default)]
+    deadline_ms: Option<u64>,
+    #[serde(default)]
+    due: Option<u64>,
+    #[serde(default)]
+    payload: Payload,
+}
+
+/// What the backend server gets: text as it is, other JSON in its compact form.
+#[derive(Debug, serde::Deserialize)]
+#[serde(untagged)]
+enum Payload {
+    Text(String),
+    Json(serde_json::Value),
+}
+
+impl Default for Payload {
+    fn default() -> Self {
+        Self::Text(String::new())
+    }
+}
+
+fn one() -> u32 {
+    1
+}
+
+impl Submission {
+    /// The request for control, each value checked.
+    pub fn into_spec(
+        self,
+        state: &state::State,
+        target: &caller::Target,
+    ) -> Result<job::Spec, verdict::Refusal> {
+        let shape = document::check_shape("request", self.tasks, self.accelerators, self.adjacency);
+        let payload = match self.payload {
+            Payload::Text(text) => text.into_bytes(),
+            Payload::Json(value) => value.to_string().into_bytes(),
+        };
+        if payload.len() > job::MAX_PAYLOAD {
+            return Err(input::bad(format!(
+                "payload: must have at most {} bytes",
+                job::MAX_PAYLOAD
+            )));
+        }
+        if self.run_time_ms == 0 {
+            return Err(input::bad("run_time_ms: must be 1 or more"));
+        }
+        let config = state.config()?;
+        let kind = config.kind(&self.service, &self.kind);
+        let deadline = deadline(self.deadline_ms, self.due, kind)?;
+        Ok(job::Spec {
+            account: target.account.clone(),
+            service: self.service,
+            kind: self.kind,
+            key: target.key.clone(),
+            shape: shape.map_err(|error| input::bad(error.to_string()))?,
+            run_time: time::Millis(self.run_time_ms),
+            deadline,
+            payload,
+        })
+    }
+}
+
+fn deadline(
+    relative: Option<u64>,
+    due: Option<u64>,
+    kind: Option<&account::Kind>,
+) -> Result<time::Wall, verdict::Refusal> {
+    let now = state::now();
+    match (relative, due) {
+        (Some(_), Some(_)) => Err(input::bad("deadline_ms and due: give one of them")),
+        (Some(0), None) => Err(input::bad("deadline_ms: must be 1 or more")),
+        (Some(span), None) => Ok(now + time::Millis(span)),
+        (None, Some(due)) => Ok(time::Wall(due)),
+        (None, None) => Ok(now + kind.map_or(UNKNOWN_DEADLINE, |kind| kind.deadline)),
+    }
+}
