Bound resends by a test

Cause: that one budget bounds the path's resends was claimed, not proved. Change: 60 callers against a control that can never tell. Before: with the budget taken out the test is red. After: it passes, 0.15 s.

--- a/tests/testsuite/entry_faults.rs
+++ b/tests/testsuite/entry_faults.rs
@@ -441,3 +441,19 @@
         control.stop().await;
     });
 }
+
+#[test]
+fn resends_bounded_by_one_budget() {
+    const CALLERS: usize = 60;
+    cases::with_entry(async |control, entry| {
+        fail_submits(control, Fault::Undecided, usize::MAX);
+        let keys = (0..CALLERS).map(|key| format!("/v1/accounts/swan-coast/requests/{key}"));
+        let submits = keys.map(async |path| cases::submit(entry, &path).await.status);
+        let statuses = futures_util::future::join_all(submits).await;
+        assert_eq!(statuses, [503; CALLERS]);
+        // Ten resends to begin with, and one for each ten first sends.
+        let bound = CALLERS + 10 + CALLERS / 10;
+        let seen = control.submissions();
+        assert!(seen <= bound, "{seen} sends for {CALLERS} requests");
+    });
+}
