--- a/src/control/replica/calls.rs
+++ b/src/control/replica/calls.rs
@@ -75,16 +75,20 @@
         self.next_token
     }
 
-    /// Takes what waits: other inputs first, then reads, then proposals, each kind together.
-    pub(super) fn take(&mut self) -> Vec<message::Input> {
+    /// Takes what waits: other inputs first, then reads together, then proposals, together or, if
+    /// they are not to be `grouped`, one by one.
+    pub(super) fn take(&mut self, grouped: bool) -> Vec<message::Input> {
         let mut inputs = std::mem::take(&mut self.inputs);
         let reads = std::mem::take(&mut self.queued_reads);
         if !reads.is_empty() {
             inputs.push(message::Input::Read(reads));
         }
-        let commands = std::mem::take(&mut self.commands);
-        if !commands.is_empty() {
+        let mut commands = std::mem::take(&mut self.commands);
+        let size = if grouped { QUEUE } else { 1 };
+        while !commands.is_empty() {
+            let rest = commands.split_off(size.min(commands.len()));
             inputs.push(message::Input::Propose(commands));
+            commands = rest;
         }
         inputs
     }
--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -49,6 +49,8 @@
     core: cell::RefCell<replica::Core>,
     machine: rc::Rc<cell::RefCell<dyn machine::Machine>>,
     calls: cell::RefCell<calls::Calls>,
+    /// Whether proposals that wait are appended together.
+    grouped: bool,
     applied: cell::RefCell<Applied>,
     links: cell::RefCell<BTreeMap<entry::Identity, peer::Link>>,
     /// Links to former members, until they have ended.
@@ -86,6 +88,7 @@
             core: cell::RefCell::new(replica::Core::new(Tick(0), boot)),
             machine,
             calls: cell::RefCell::default(),
+            grouped: options.grouped,
             applied: cell::RefCell::new(applied),
             links: cell::RefCell::default(),
             retired: cell::RefCell::default(),
@@ -235,7 +238,7 @@
 
     /// Takes everything that waits.
     fn turn(self: &rc::Rc<Self>) {
-        let inputs = self.calls.borrow_mut().take();
+        let inputs = self.calls.borrow_mut().take(self.grouped);
         for input in inputs {
             self.step(input);
         }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -51,7 +51,7 @@
 /// What tests and measurements may vary; programs use the default.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Whether entries that wait while the disk works share the next sync.
+    /// Whether entries that wait share an append and a sync.
     pub grouped: bool,
     /// The rules in force.
     pub guards: consensus::Guards,
--- a/src/core/consensus/log.rs
+++ b/src/core/consensus/log.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use crate::core::consensus;
 use crate::core::consensus::entry;
 use crate::core::ids;
 
@@ -69,6 +70,21 @@
         }
     }
 
+    /// The entry behind which entries are kept, for followers that lag a little, once a snapshot
+    /// covers `index`.
+    pub fn trail(&self, index: ids::LogIndex) -> ids::LogIndex {
+        let mut at = index;
+        let mut bytes = 0;
+        while let Some(entry) = self.get(at) {
+            bytes += entry.size();
+            if bytes > consensus::TRAILING_BYTES || index.0 - at.0 >= consensus::TRAILING {
+                break;
+            }
+            at.0 -= 1;
+        }
+        at
+    }
+
     /// The entries after `prev` up to and with `last`, but no more than `bytes` of commands
     /// beyond the first entry.
     pub fn slice(
--- a/src/core/consensus/mod.rs
+++ b/src/core/consensus/mod.rs
@@ -18,7 +18,7 @@
 pub mod replica;
 
 /// How often a leader shows itself to its followers.
-pub const HEARTBEAT: time::Millis = time::Millis(50);
+pub const HEARTBEAT: time::Millis = time::Millis(100);
 
 /// How long a follower that has heard from a leader grants no vote, and the shortest election
 /// timeout.
@@ -61,6 +61,9 @@
 /// Entries kept in memory behind a snapshot, for followers that lag a little.
 pub const TRAILING: u64 = 1024;
 
+/// Bytes of commands kept in memory behind a snapshot.
+pub const TRAILING_BYTES: usize = 2 * 1024 * 1024;
+
 /// How many entries a learner may lack to be made a voter.
 pub const CAUGHT_UP: u64 = 256;
 
--- a/src/core/consensus/replica.rs
+++ b/src/core/consensus/replica.rs
@@ -124,6 +124,10 @@
             core.withheld = now + consensus::ELECTION;
         }
         core.reset_timer(now);
+        if core.members.current().voters().all(|id| id == core.id) {
+            // There is nobody to wait for.
+            core.timer = now;
+        }
         core
     }
 
@@ -373,7 +377,10 @@
     }
 
     fn compact(&mut self, snapshot: entry::Snapshot) {
-        let keep = ids::LogIndex(snapshot.index.0.saturating_sub(consensus::TRAILING));
+        if self.snapshot.as_ref().is_some_and(|newer| newer.index > snapshot.index) {
+            return;
+        }
+        let keep = self.log.trail(snapshot.index);
         self.log.compact(keep);
         self.members.compact(keep);
         self.snapshot = Some(snapshot);
