Refuse calls after a stop; test membership steps and foreign peers

Cause: a proposal to a replica that had stopped waited for ever, and growing, shrinking and refused peers were untested over sockets.

Ruled out: answering from the tasks that end (a call may come later).

Change: calls are closed with the loop; tests for one to three and on to two members without the first leader, and for peers of another version or group or that speak for others.

Before: a late proposal never ended.

Conclusion: no caller outwaits a replica.

--- a/src/control/replica/calls.rs
+++ b/src/control/replica/calls.rs
@@ -30,6 +30,7 @@
     /// Proposals in the log, with the term they were accepted in.
     accepted: BTreeMap<ids::LogIndex, (ids::Term, Answer<Vec<u8>>)>,
     reads: BTreeMap<u64, Answer<()>>,
+    closed: bool,
 }
 
 impl Calls {
@@ -40,8 +41,8 @@
 
     pub(super) fn propose(&mut self, command: Bytes) -> Answered<Vec<u8>> {
         let (answer, answered) = oneshot::channel();
-        if self.commands.len() >= QUEUE {
-            let _ = answer.send(Err(machine::ProposeError::Busy));
+        if let Some(refusal) = self.refusal(self.commands.len()) {
+            let _ = answer.send(Err(refusal));
             return answered;
         }
         let token = self.token();
@@ -52,8 +53,8 @@
 
     pub(super) fn read(&mut self) -> Answered<()> {
         let (answer, answered) = oneshot::channel();
-        if self.reads.len() >= QUEUE {
-            let _ = answer.send(Err(machine::ProposeError::Busy));
+        if let Some(refusal) = self.refusal(self.reads.len()) {
+            let _ = answer.send(Err(refusal));
             return answered;
         }
         let token = self.token();
@@ -64,12 +65,30 @@
 
     pub(super) fn reconfigure(&mut self, membership: entry::Membership) -> Answered<Vec<u8>> {
         let (answer, answered) = oneshot::channel();
+        if let Some(refusal) = self.refusal(0) {
+            let _ = answer.send(Err(refusal));
+            return answered;
+        }
         let token = self.token();
         self.inputs.push(message::Input::Reconfigure { token, membership });
         self.proposed.insert(token, answer);
         answered
     }
 
+    /// Why a call can't be taken while so many wait.
+    fn refusal(&self, waiting: usize) -> Option<machine::ProposeError> {
+        match self.closed {
+            true => Some(machine::ProposeError::NotLeader),
+            false => (waiting >= QUEUE).then_some(machine::ProposeError::Busy),
+        }
+    }
+
+    /// Takes no more calls; those that wait learn nothing more.
+    pub(super) fn close(&mut self) {
+        self.stood_down();
+        *self = Self { closed: true, ..Self::default() };
+    }
+
     fn token(&mut self) -> u64 {
         self.next_token += 1;
         self.next_token
--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -412,8 +412,7 @@
         }
         driver.turn();
     }
-    driver.calls.borrow_mut().stood_down();
-    driver.calls.take();
+    driver.calls.borrow_mut().close();
 }
 
 fn machine_role(core: &replica::Core, role: message::Role) -> machine::Role {
--- a/tests/testsuite/replica.rs
+++ b/tests/testsuite/replica.rs
@@ -6,7 +6,11 @@
 use hemlockcleat::control::machine::Log as _;
 use hemlockcleat::control::replica;
 use hemlockcleat::core::consensus;
+use hemlockcleat::net::stream;
 use hemlockcleat::store;
+use hemlockcleat::wire::codec;
+use hemlockcleat::wire::disk;
+use hemlockcleat::wire::peer;
 
 use crate::replica_support;
 use crate::store_disk;
@@ -72,8 +76,11 @@
         group.put(b"two").await;
         assert!(group.nodes[lost].machine.borrow().entries.is_empty());
         let replicas: Vec<_> = group.nodes.iter().map(|node| node.member()).collect();
-        let admitted = || group.nodes[lost].replica().view().peers.iter().all(|peer| peer.voter);
-        while group.nodes[lost].replica().view().peers.len() != 3 || !admitted() {
+        let admitted = || {
+            let peers = group.nodes[lost].replica().view().peers;
+            peers.len() == 3 && peers.iter().all(|peer| peer.voter)
+        };
+        while !admitted() {
             let leader = group.leader().await;
             let _ = group.nodes[leader].replica().reconfigure(replicas.clone()).await;
         }
@@ -214,3 +221,68 @@
         group.stop().await;
     });
 }
+
+#[test]
+fn membership_grows_and_shrinks() {
+    support::run(async {
+        let mut group = replica_support::Group::start(1).await;
+        group.put(b"alone").await;
+        for _ in 0..2 {
+            let node = group.add().await;
+            group.nodes[node].start().await;
+        }
+        group.reconfigure(&[0, 1, 2]).await;
+        group.put(b"three").await;
+        group.applied(2).await;
+        // The first leader goes too, and the others carry on.
+        group.reconfigure(&[1, 2]).await;
+        group.nodes[0].stop().await;
+        group.put(b"two").await;
+        group.applied(3).await;
+        group.stop().await;
+    });
+}
+
+#[rstest::rstest]
+#[case::no_hello(None, true)]
+#[case::other_version(Some(codec::VERSION + 1), true)]
+#[case::spoke_for_another(Some(codec::VERSION), true)]
+#[case::other_group(Some(codec::VERSION), false)]
+fn peer_is_refused(#[case] version: Option<u16>, #[case] closed: bool) {
+    support::run(async move {
+        let group = replica_support::Group::start(1).await;
+        group.put(b"one").await;
+        let before = group.nodes[0].replica().view();
+        let addr = group.nodes[0].settings.listen;
+        let stream = stream::connect::<peer::Up, peer::Down>(addr, "/peer").await;
+        let (sender, mut receiver, connection) = stream.expect("a stream");
+        let id = disk::Identity { replica: 9, store: 9 };
+        if let Some(version) = version {
+            sender.send(&peer::Up::Hello(peer::Hello { version, id, group: Some(9) })).await;
+        }
+        let from = if closed { disk::Identity { replica: 8, store: 8 } } else { id };
+        let to = disk::Identity { replica: 1, store: 1 };
+        let body = peer::Body::Vote(99, 99, true);
+        let envelope = peer::Envelope { group: 9, from, to, term: 99, body };
+        sender.send(&peer::Up::Envelope(envelope)).await;
+        if closed {
+            while receiver.receive().await.is_some() {}
+        }
+        group.put(b"two").await;
+        assert_eq!(group.nodes[0].replica().view().term, before.term);
+        drop((sender, connection));
+        group.stop().await;
+    });
+}
+
+#[test]
+fn stopped_replica_refuses_at_once() {
+    support::run(async {
+        let group = replica_support::Group::start(1).await;
+        let replica = group.nodes[0].replica();
+        group.stop().await;
+        let refused = replica.propose(b"late".to_vec()).await;
+        assert!(matches!(refused, Err(machine::ProposeError::NotLeader)));
+        assert!(!replica.leads() || replica.barrier().await.is_err());
+    });
+}
--- a/tests/testsuite/replica_support.rs
+++ b/tests/testsuite/replica_support.rs
@@ -155,6 +155,31 @@
         group
     }
 
+    /// Adds a replica that is no founding member; it is not started.
+    pub async fn add(&mut self) -> usize {
+        let mut node = self.make(self.nodes.len() as u64 + 1).await;
+        node.settings.peers = self.nodes[0].settings.peers.clone();
+        self.nodes.push(node);
+        self.nodes.len() - 1
+    }
+
+    /// Leads the group, step by step, to voters that are just these nodes.
+    pub async fn reconfigure(&self, nodes: &[usize]) {
+        let members: Vec<_> = nodes.iter().map(|&node| self.nodes[node].member()).collect();
+        let give_up = time::Instant::now() + PATIENCE;
+        while time::Instant::now() < give_up {
+            let leader = self.nodes[self.leader().await].replica();
+            let peers = leader.view().peers;
+            let keys: Vec<_> = peers.iter().map(|peer| peer.key).collect();
+            let wanted: Vec<_> = members.iter().map(|member| member.0).collect();
+            if leader.leads() && keys == wanted && peers.iter().all(|peer| peer.voter) {
+                return;
+            }
+            let _ = leader.reconfigure(members.clone()).await;
+        }
+        panic!("the group has not changed");
+    }
+
     async fn make(&self, number: u64) -> Node {
         let slot = Slot::default();
         let server = listen("127.0.0.1:0".parse().expect("an address"), slot.clone()).await;
