--- a/src/core/consensus/follower.rs
+++ b/src/core/consensus/follower.rs
@@ -31,8 +31,8 @@
             prev_term = self.log.term_at(base).unwrap_or(prev_term);
         }
         if self.log.term_at(prev) != Some(prev_term) {
-            let before = ids::LogIndex(prev.0 - 1);
-            let hint = self.log.back_to(before, prev_term);
+            // What is committed here is equal to the leader's.
+            let hint = if prev > self.log.last() { self.log.last() } else { self.commit };
             self.answer_append(from, Some(message::Missing { prev, hint }), out);
             return;
         }
--- a/src/core/consensus/log.rs
+++ b/src/core/consensus/log.rs
@@ -107,14 +107,4 @@
         }
         taken
     }
-
-    /// The last entry before `index` whose term is not above `term`; where a search for the
-    /// common part of two logs goes on.
-    pub fn back_to(&self, index: ids::LogIndex, term: ids::Term) -> ids::LogIndex {
-        let mut at = index.min(self.last());
-        while at > self.base && self.term_at(at).is_some_and(|held| held > term) {
-            at.0 -= 1;
-        }
-        at
-    }
 }
