Part the log's test world into actions, checks and the world itself

Ruled out: nothing; no check is changed, they only move.

Change: `consensus_action`, `consensus_checks`, `consensus_world`.

Conclusion: what must be true can be read on one page.

--- a/tests/testsuite/consensus.rs
+++ b/tests/testsuite/consensus.rs
@@ -1,12 +1,12 @@
 //! The replicated log under generated faults, and what happens without each of its rules.
 
 use hemlockcleat::core::consensus;
-use proptest::prelude::Strategy as _;
 use proptest::strategy;
 use proptest::test_runner;
 
+use crate::consensus_action;
+use crate::consensus_action::Action;
 use crate::consensus_world;
-use crate::consensus_world::Action;
 
 /// Cases of one run over sound rules.
 const CASES: u32 = 500;
@@ -14,43 +14,6 @@
 /// Cases in which a missing rule has to show.
 const MUTANT_CASES: u32 = 5000;
 
-fn action() -> impl strategy::Strategy<Value = Action> {
-    let node = || 0..consensus_world::NODES;
-    proptest::prop_oneof![
-        6 => (1..80_u64).prop_map(|tens| Action::Run(tens * 10)),
-        2 => (1..60_u64).prop_map(|tens| Action::Wait(tens * 10)),
-        2 => (1..20_u64).prop_map(|tens| Action::Stall(tens * 10)),
-        3 => (0..50_usize).prop_map(Action::Deliver),
-        2 => (0..50_usize).prop_map(Action::Duplicate),
-        1 => (0..50_usize).prop_map(Action::Lose),
-        1 => node().prop_map(Action::Sync),
-        6 => node().prop_map(Action::Propose),
-        3 => node().prop_map(Action::Read),
-        2 => (node(), 0..4_usize).prop_map(|(node, keep)| Action::Crash(node, keep)),
-        3 => node().prop_map(Action::Restart),
-        1 => (0..4_usize).prop_map(Action::Outage),
-        1 => node().prop_map(Action::Wipe),
-        2 => strategy::Just(Action::Repair),
-        2 => (node(), node()).prop_map(|(from, to)| Action::Cut(from, to)),
-        1 => node().prop_map(Action::Isolate),
-        3 => strategy::Just(Action::Heal),
-        1 => node().prop_map(Action::Freeze),
-        2 => node().prop_map(Action::Thaw),
-        1 => node().prop_map(Action::HandOver),
-        1 => node().prop_map(Action::Compact),
-    ]
-}
-
-fn actions() -> impl strategy::Strategy<Value = Vec<Action>> {
-    proptest::collection::vec(action(), 10..60)
-}
-
-fn with_jumps() -> impl strategy::Strategy<Value = Vec<Action>> {
-    let node = 0..consensus_world::NODES;
-    let jump = (node, 1..1000_u64).prop_map(|(node, millis)| Action::Jump(node, millis));
-    proptest::collection::vec(proptest::prop_oneof![20 => action(), 1 => jump], 10..60)
-}
-
 fn search(
     cases: u32,
     guards: consensus::Guards,
@@ -72,12 +35,14 @@
 
 #[test]
 fn promises_hold_under_faults() {
-    search(CASES, consensus::Guards::ALL, actions()).expect("no promise is broken");
+    search(CASES, consensus::Guards::ALL, consensus_action::actions())
+        .expect("no promise is broken");
 }
 
 #[test]
 fn promises_hold_under_faults_and_clock_jumps() {
-    search(CASES, consensus::Guards::ALL, with_jumps()).expect("no promise is broken");
+    search(CASES, consensus::Guards::ALL, consensus_action::with_jumps())
+        .expect("no promise is broken");
 }
 
 #[rstest::rstest]
@@ -85,7 +50,8 @@
 #[case::sync(without(|guards| guards.sync = false))]
 #[case::lease(without(|guards| guards.lease = false))]
 fn promise_breaks_without_rule(#[case] guards: consensus::Guards) {
-    let found = search(MUTANT_CASES, guards, actions()).expect_err("the rule is needed");
+    let found =
+        search(MUTANT_CASES, guards, consensus_action::actions()).expect_err("the rule is needed");
     let test_runner::TestError::Fail(reason, actions) = found else { panic!("{found}") };
     println!("{guards:?}: {reason} after {actions:?}");
     // The same actions break nothing while all rules are in force.
--- a/tests/testsuite/consensus_world.rs
+++ b/tests/testsuite/consensus_world.rs
@@ -1,7 +1,6 @@
 //! A few cores with their disks, a bag of messages and a clock, driven step by step; every output
 //! is held against what must always be true.
 
-use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
 use bytes::Bytes;
@@ -13,6 +12,9 @@
 use hemlockcleat::core::ids;
 use hemlockcleat::core::time;
 
+use crate::consensus_action::Action;
+use crate::consensus_checks;
+
 pub const NODES: usize = 3;
 const GROUP: ids::GroupKey = ids::GroupKey(7);
 /// Milliseconds between two looks at the clock.
@@ -22,42 +24,6 @@
 /// Bytes of a snapshot chunk; short, so that transfers take several.
 const CHUNK: usize = 16;
 
-/// One thing that happens. Numbers are taken modulo what there is.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Time passes; messages arrive in order and disks work.
-    Run(u64),
-    /// Time passes and nothing else happens but timers.
-    Wait(u64),
-    /// Time passes and messages arrive in order, but no disk syncs.
-    Stall(u64),
-    Deliver(usize),
-    Duplicate(usize),
-    Lose(usize),
-    Sync(usize),
-    Propose(usize),
-    Read(usize),
-    /// The process dies with some of its unsynced batches on disk.
-    Crash(usize, usize),
-    Restart(usize),
-    /// The process dies and its disk is lost.
-    Wipe(usize),
-    /// A leader takes the next step towards a group of the present disks.
-    Repair,
-    /// All processes die, each with some of its unsynced batches on disk, and start again.
-    Outage(usize),
-    /// Messages from one to the other are lost from now on.
-    Cut(usize, usize),
-    Isolate(usize),
-    Heal,
-    Freeze(usize),
-    Thaw(usize),
-    /// The monotonic clock jumps ahead, which a sound host does not do.
-    Jump(usize, u64),
-    HandOver(usize),
-    Compact(usize),
-}
-
 #[derive(Default)]
 struct Disk {
     hard: entry::Hard,
@@ -84,12 +50,7 @@
     stores: u128,
     tokens: u64,
     guards: consensus::Guards,
-    /// Clocks have jumped, so leases prove nothing any more.
-    jumped: bool,
-    committed: BTreeMap<u64, entry::Entry>,
-    states: BTreeMap<u64, Vec<u8>>,
-    leaders: BTreeMap<ids::Term, entry::Identity>,
-    reads: BTreeMap<u64, u64>,
+    checks: consensus_checks::Checks,
 }
 
 impl World {
@@ -103,11 +64,7 @@
             stores: 100,
             tokens: 0,
             guards,
-            jumped: false,
-            committed: BTreeMap::new(),
-            states: BTreeMap::from([(0, Vec::new())]),
-            leaders: BTreeMap::new(),
-            reads: BTreeMap::new(),
+            checks: consensus_checks::Checks::default(),
         };
         for number in 0..NODES {
             let store = ids::StoreKey(number as u128 + 1);
@@ -152,12 +109,12 @@
     }
 
     pub fn committed(&self) -> usize {
-        self.committed.len()
+        self.checks.committed()
     }
 
     /// Whether every node is a voter and has applied everything.
     pub fn whole(&self) -> bool {
-        let all = self.committed.len() as u64;
+        let all = self.checks.committed() as u64;
         let whole = |node: &Node| {
             let core = node.core.as_ref();
             node.applied == all && core.is_some_and(|core| core.membership().votes(node.id))
@@ -177,10 +134,7 @@
 
     fn check_leases(&self) -> Result<(), String> {
         let leading: Vec<usize> = (0..NODES).filter(|&number| self.leads(number)).collect();
-        if leading.len() > 1 && !self.jumped {
-            return Err(format!("{leading:?} lead at once"));
-        }
-        Ok(())
+        self.checks.leading(&leading)
     }
 
     fn act(&mut self, action: &Action) -> Result<(), String> {
@@ -212,7 +166,7 @@
             }
             Action::Read(number) => {
                 self.tokens += 1;
-                self.reads.insert(self.tokens, self.committed.len() as u64);
+                self.checks.asked(self.tokens);
                 self.input(number, message::Input::Read(vec![self.tokens]))
             }
             Action::Crash(number, keep) => {
@@ -262,7 +216,7 @@
             }
             Action::Jump(number, millis) => {
                 self.nodes[number].skew += millis;
-                self.jumped = true;
+                self.checks.jumped();
                 Ok(())
             }
             Action::HandOver(number) => self.input(number, message::Input::HandOver),
@@ -435,39 +389,22 @@
                 let node = &mut self.nodes[number];
                 node.applied = snapshot.index.0;
                 node.state = bytes.to_vec();
-                self.check_state(number)
-            }
-            message::Output::Ready { token, index } => {
-                let needed = self.reads.get(&token).copied().unwrap_or(0);
-                match index.0 < needed {
-                    true => Err(format!("a read sees {index}, but {needed} was committed")),
-                    false => Ok(()),
-                }
+                self.checks.state(node.applied, &node.state)
             }
+            message::Output::Ready { token, index } => self.checks.answered(token, index.0),
             message::Output::Role(message::Role::Leader(term)) => {
                 let core = self.nodes[number].core.as_ref();
                 let known = core.map_or(0, |core| core.committed().0);
-                match known < self.committed.len() as u64 && !self.superseded(term) {
-                    true => Err(format!("the leader of {term} lacks committed entries")),
-                    false => Ok(()),
-                }
+                self.checks.leads(term, known)
             }
             _ => Ok(()),
         }
     }
 
-    /// Whether a later term has a leader already.
-    fn superseded(&self, term: ids::Term) -> bool {
-        self.leaders.keys().any(|&later| later > term)
-    }
-
     fn send(&mut self, number: usize, mut envelope: message::Envelope) -> Result<(), String> {
         match &mut envelope.body {
             message::Body::Append { .. } => {
-                let leader = *self.leaders.entry(envelope.term).or_insert(envelope.from);
-                if leader != envelope.from {
-                    return Err(format!("two leaders of term {}", envelope.term));
-                }
+                self.checks.appends(envelope.term, envelope.from)?;
             }
             message::Body::Chunk { snapshot, offset, bytes } => {
                 let Some((kept, content)) = &self.nodes[number].disk.snapshot else {
@@ -498,20 +435,8 @@
         if let entry::Payload::Command(bytes) = &entry.payload {
             node.state.extend_from_slice(bytes);
         }
-        let known = self.committed.entry(index).or_insert_with(|| entry.clone());
-        if *known != entry {
-            return Err(format!("committed entry {index} has changed"));
-        }
-        self.check_state(number)
-    }
-
-    fn check_state(&mut self, number: usize) -> Result<(), String> {
-        let node = &self.nodes[number];
-        let known = self.states.entry(node.applied).or_insert_with(|| node.state.clone());
-        match *known == node.state {
-            true => Ok(()),
-            false => Err(format!("states differ at entry {}", node.applied)),
-        }
+        self.checks.commits(&entry)?;
+        self.checks.state(index, &node.state)
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,8 @@
 mod agent_state;
 mod cli;
 mod consensus;
+mod consensus_action;
+mod consensus_checks;
 mod consensus_wire;
 mod consensus_world;
 mod entry;
