Test a silent cut over sockets

Cause: after a cut that leaves connections open, the system's own retransmission may take minutes; a link is dialled afresh after two seconds without an answer, which no test showed.

Ruled out: closing the relay's connections (that is no silent cut).

Change: a relay that swallows what passes.

Before: no evidence.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod placement;
 mod placement_random;
 mod replica;
+mod replica_cut;
 mod replica_support;
 mod settings;
 mod settings_examples;
