--- a/tests/testsuite/replica_cut.rs
+++ b/tests/testsuite/replica_cut.rs
@@ -5,7 +5,6 @@
 use std::rc;
 use std::time;
 
-use hemlockcleat::control::machine::Log as _;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 
--- a/tests/testsuite/store.rs
+++ b/tests/testsuite/store.rs
@@ -184,6 +184,30 @@
     assert_eq!(indexes(&loaded), [10, 11]);
 }
 
+/// A crash at any sync while a received snapshot takes the log's place.
+#[rstest::rstest]
+fn received_snapshot_is_whole_or_absent(
+    #[values(0, 1, 2, 9)] syncs: usize,
+    #[values(0, 1, 2, 9)] folder_syncs: usize,
+) {
+    let disk = three();
+    let (mut store, _) = open(&disk).expect("a sound store");
+    let (syncs, folder_syncs) = (Some(syncs), Some(folder_syncs));
+    disk.fail(store_disk::Faults { syncs, folder_syncs, ..Default::default() });
+    let install = entry::Batch {
+        snapshot: Some((snapshot(9, b"state"), Bytes::from_static(b"state"))),
+        truncate: Some(ids::LogIndex(1)),
+        ..entry::Batch::default()
+    };
+    let written = store.write(&[install]).is_ok();
+    disk.lose_power(0);
+    let (_, loaded) = open(&disk).expect("a sound store");
+    match loaded.snapshot.is_some() {
+        true => assert_eq!(indexes(&loaded), [0_u64; 0]),
+        false => assert!(!written && indexes(&loaded) == [1, 2, 3]),
+    }
+}
+
 /// The process ends between the snapshot and the record that voids the log.
 #[test]
 fn received_snapshot_alone_replaces_the_log() {
--- a/tests/testsuite/store_disk.rs
+++ b/tests/testsuite/store_disk.rs
@@ -19,6 +19,20 @@
     pub room: Option<usize>,
     /// Syncs that may yet succeed.
     pub syncs: Option<usize>,
+    /// Syncs of the folder that may yet succeed.
+    pub folder_syncs: Option<usize>,
+}
+
+/// Counts one use, or fails if none is left.
+fn spend(left: &mut Option<usize>) -> io::Result<()> {
+    match left {
+        Some(0) => Err(io::Error::other("the disk is gone")),
+        Some(left) => {
+            *left -= 1;
+            Ok(())
+        }
+        None => Ok(()),
+    }
 }
 
 #[derive(Default)]
@@ -127,6 +141,7 @@
 
     fn sync_folder(&self) -> io::Result<()> {
         let state = &mut *self.state();
+        spend(&mut state.faults.folder_syncs)?;
         state.names = state.files.clone();
         Ok(())
     }
@@ -153,12 +168,7 @@
 
     fn sync(&mut self) -> io::Result<()> {
         let state = &mut *self.disk.state();
-        if let Some(syncs) = &mut state.faults.syncs {
-            if *syncs == 0 {
-                return Err(io::Error::other("the disk is gone"));
-            }
-            *syncs -= 1;
-        }
+        spend(&mut state.faults.syncs)?;
         let content = state.files.get_mut(&self.name).ok_or_else(missing)?;
         content.synced = content.written.clone();
         if let Some(named) = state.names.get_mut(&self.name) {
