Test the store command on missing, used and stopped folders

Cause: `ops::store` was untested, and must not make files where there is no store.

Ruled out: nothing.

Change: one test.

Before: no evidence.

Conclusion: a look into a folder changes nothing in it.

--- a/tests/testsuite/store.rs
+++ b/tests/testsuite/store.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hemlockcleat::core::consensus::entry;
 use hemlockcleat::core::ids;
+use hemlockcleat::ops;
 use hemlockcleat::store;
 use hemlockcleat::store::disk;
 use hemlockcleat::store::disk::Disk as _;
@@ -305,6 +306,24 @@
     assert_eq!(disk.size(), before);
 }
 
+#[test]
+fn command_reads_a_stopped_folder_only() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let missing = folder.path().join("missing");
+    ops::store::inspect(&missing).expect_err("nothing is there");
+    assert!(!missing.exists() && !folder.path().join(disk::LOCK).exists());
+    let disk = sync::Arc::new(disk::Folder::create(folder.path()).expect("a lock"));
+    let (mut store, _) = folder::Store::open(disk.clone(), REPLICA, STORE).expect("a new store");
+    store.write(&[batch(entries(1..=1, 1, 10))]).expect("a write");
+    let error = ops::store::inspect(folder.path()).expect_err("it is in use");
+    assert!(matches!(error, store::Error::Locked(_)), "{error}");
+    drop((store, disk));
+    let report = ops::store::inspect(folder.path()).expect("a sound store");
+    assert_eq!(ops::store::verdict(&report), "sound");
+    assert_eq!(ops::store::to_json(&report)["last"], 1);
+    assert!(ops::store::to_text(&report).contains("1 to 1"));
+}
+
 /// The bytes of a folder of format version 1.
 #[test]
 fn format_bytes_are_pinned() {
