Show a member whose store was replaced as no voter

Cause: the leader moves the group towards the replicas that a ticket named while numbers, addresses and votes differ. A wiped replica keeps number and address, so nothing differed and the repair never began.

Ruled out: a new field in the view (all who compare views would have to learn it); admitting new stores without being told (a membership change has to be asked for).

Change: a link notes that another store of the same replica answers at the member's address; the view shows that member as no voter.

Before: `reconfigure` had to be called from outside.

Conclusion: what operators see is what counts.

--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -164,10 +164,13 @@
 
     pub(super) fn view(&self) -> machine::GroupView {
         let core = self.core.borrow();
+        let links = self.links.borrow();
+        let replaced = |id| links.get(&id).is_some_and(peer::Link::is_replaced);
         let view = |member: &entry::Member| machine::PeerView {
             key: member.id.replica,
             addr: member.addr.clone(),
-            voter: member.voter,
+            // A store that another has taken the place of votes no more.
+            voter: member.voter && !replaced(member.id),
             matched: core.matched(member.id),
         };
         machine::GroupView {
--- a/src/control/replica/peer.rs
+++ b/src/control/replica/peer.rs
@@ -1,5 +1,6 @@
 //! Streams between replicas: one dialled to each member, and those that peers have opened.
 
+use std::cell;
 use std::net;
 use std::rc;
 use std::time;
@@ -120,6 +121,8 @@
     addr: String,
     /// None once the link is to end.
     queue: Option<mpsc::Sender<message::Envelope>>,
+    /// Whether another store of the same replica was last found at the address.
+    replaced: rc::Rc<cell::Cell<bool>>,
     task: actix_rt::task::JoinHandle<()>,
 }
 
@@ -128,8 +131,9 @@
     pub(super) fn open(driver: rc::Rc<driver::Driver>, member: &entry::Member) -> Self {
         let (queue, messages) = mpsc::channel(QUEUE);
         let addr = member.addr.clone();
-        let task = actix_rt::spawn(dial(driver, member.id, addr.clone(), messages));
-        Self { addr, queue: Some(queue), task }
+        let replaced = rc::Rc::new(cell::Cell::new(false));
+        let dialling = dial(driver, member.id, addr.clone(), messages, replaced.clone());
+        Self { addr, queue: Some(queue), replaced, task: actix_rt::spawn(dialling) }
     }
 
     /// Whether the link leads to this address.
@@ -137,6 +141,11 @@
         self.addr == addr
     }
 
+    /// Whether another store of the same replica was last found at the address.
+    pub(super) fn is_replaced(&self) -> bool {
+        self.replaced.get()
+    }
+
     /// Sends a message, or drops it if too many wait.
     pub(super) fn send(&self, envelope: message::Envelope) {
         if let Some(queue) = &self.queue {
@@ -166,6 +175,7 @@
     id: entry::Identity,
     addr: String,
     mut messages: mpsc::Receiver<message::Envelope>,
+    replaced: rc::Rc<cell::Cell<bool>>,
 ) {
     let Ok(socket) = addr.parse::<net::SocketAddr>() else {
         event::store::PEER_REFUSED.log(format_args!("{addr} is not an address"));
@@ -181,6 +191,7 @@
         match opened {
             Ok(session) if entry::Identity::from(session.hello.id) == id => {
                 pause = BACK_OFF.0;
+                replaced.set(false);
                 while messages.try_recv().is_ok() {}
                 if !talk(&driver, session, &mut messages).await {
                     return;
@@ -188,6 +199,7 @@
             }
             Ok(session) => {
                 let found = entry::Identity::from(session.hello.id);
+                replaced.set(found.replica == id.replica);
                 complain(&mut complaint, format!("{addr}: expected {id:?}, found {found:?}"));
             }
             Err(HelloError::Wrong(detail)) => complain(&mut complaint, detail),
