Judge anew the workers that a convicted job had failed on

Cause: a job that failed everywhere left its first worker suspect, as only the last worker was judged again; found by failing_job_convicts_no_worker, red before. Ruled out: the acquittal itself, which forgot the failures rightly. Change: every worker the job failed on is judged again; a worker that is lost three times in ten minutes is suspect.

--- a/src/core/placement/health.rs
+++ b/src/core/placement/health.rs
@@ -29,6 +29,12 @@
 /// Probes that must end well before a worker is good again.
 const GOOD_PROBES: u32 = 2;
 
+/// Losses within [`FLAP_SPAN`] that make a worker suspect.
+const FLAPS: usize = 3;
+
+/// How long the loss of a worker counts against it.
+const FLAP_SPAN: time::Millis = time::Millis::from_secs(600);
+
 /// The first back-off before a probe.
 const BACK_OFF: time::Millis = time::Millis::from_secs(15);
 
@@ -49,6 +55,7 @@
 #[derive(Clone, Debug, Default)]
 struct Record {
     outcomes: VecDeque<Outcome>,
+    losses: VecDeque<time::Tick>,
     trust: Option<fleet::Trust>,
     back_off: time::Millis,
     due: time::Tick,
@@ -110,6 +117,15 @@
         }
     }
 
+    /// A worker was lost with all that ran there.
+    pub fn lost(&mut self, now: time::Tick, worker: usize) {
+        let losses = &mut self.records.entry(worker).or_default().losses;
+        if losses.len() == FLAPS {
+            losses.pop_front();
+        }
+        losses.push_back(now);
+    }
+
     /// A job is gone for good; whether it failed somewhere no longer matters.
     pub fn forget(&mut self, job: ids::JobKey) {
         self.failed_on.remove(&job);
@@ -120,6 +136,11 @@
         self.failed_on.get(&job).is_some_and(|workers| workers.contains(&worker))
     }
 
+    /// The workers on which a job failed.
+    pub fn failed_on(&self, job: ids::JobKey) -> Vec<usize> {
+        self.failed_on.get(&job).into_iter().flatten().copied().collect()
+    }
+
     /// Whether a job failed anywhere before.
     pub fn has_failed(&self, job: ids::JobKey) -> bool {
         self.failed_on.contains_key(&job)
@@ -138,7 +159,9 @@
             }
             fleet::Trust::Probation => old,
             _ if guilty && room => fleet::Trust::Probation,
-            _ if guilty || doubtful(&record.outcomes) => fleet::Trust::Suspect,
+            _ if guilty || doubtful(&record.outcomes) || flaps(now, &record.losses) => {
+                fleet::Trust::Suspect
+            }
             _ => fleet::Trust::Good,
         };
         if new == old {
@@ -227,6 +250,10 @@
     outcomes.iter().rev().take(2).any(|outcome| outcome.failed)
 }
 
+fn flaps(now: time::Tick, losses: &VecDeque<time::Tick>) -> bool {
+    losses.len() == FLAPS && losses.iter().all(|at| now - *at <= FLAP_SPAN)
+}
+
 fn push(outcomes: &mut VecDeque<Outcome>, outcome: Outcome) {
     if outcomes.len() == MEMORY {
         outcomes.pop_front();
--- a/src/core/placement/planner.rs
+++ b/src/core/placement/planner.rs
@@ -182,6 +182,7 @@
             self.grown = now;
         }
         self.usability_changed(now, index);
+        self.judge(now, [index]);
     }
 
     fn reopen(&mut self, index: usize) {
@@ -196,6 +197,7 @@
     fn worker_lost(&mut self, now: time::Tick, key: ids::WorkerKey) {
         let Some(index) = self.fleet.find(key) else { return };
         self.fleet.change(index, |worker| worker.alive = false);
+        self.health.lost(now, index);
         self.usability_changed(now, index);
     }
 
@@ -315,7 +317,7 @@
         self.health.inconclusive(key, workers);
         if let Some(index) = worker.and_then(|worker| self.fleet.find(worker)) {
             self.health.failed(now, key, source, index);
-            self.judge(now, [index]);
+            self.judge(now, self.health.failed_on(key));
         }
         self.give_back(now, key, out);
         let Some(work) = self.jobs.get_mut(&key) else { return };
@@ -353,6 +355,7 @@
                 self.health.inconclusive(key, workers.iter().copied());
                 if let Some(index) = self.fleet.find(worker) {
                     self.health.failed(now, key, source, index);
+                    self.judge(now, self.health.failed_on(key));
                 }
             }
             plan::RunResult::Preempted => {
