--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,5 +5,9 @@
 
 pub mod agent;
 pub mod codec;
+pub mod command;
 pub mod common;
+pub mod disk;
 pub mod entry;
+pub mod peer;
+pub mod snapshot;
