Order scheduled work by deadline before shares

Cause: an account over its share had its rebuilds passed by, and late. Ruled out: the kept places; the longest waits were of over-share accounts. Change: shares order urgent, deferred and idle work; deadlines scheduled.

--- a/src/core/placement/decide.rs
+++ b/src/core/placement/decide.rs
@@ -63,7 +63,8 @@
         let state = self.queue.group(group);
         let work = self.jobs.get(&state.head()?)?;
         let class = effective_class(now, work);
-        Some((class, self.over_share(state.account), self.latest_start(work), group))
+        let over = class != account::Class::Scheduled && self.over_share(state.account);
+        Some((class, over, self.latest_start(work), group))
     }
 
     /// The last moment at which the job can start and still meet its deadline; for deferred work
