--- a/tests/testsuite/agent.rs
+++ b/tests/testsuite/agent.rs
@@ -14,8 +14,8 @@
 use crate::support::agent_bed;
 use crate::support::agent_bed::Bed;
 use crate::support::agent_control;
-use crate::support::agent_relay as relay;
 use crate::support::http_client;
+use crate::support::relay;
 
 /// A run time that no test waits for.
 const LONG: u64 = 600_000;
--- a/tests/testsuite/agent_process.rs
+++ b/tests/testsuite/agent_process.rs
@@ -14,9 +14,9 @@
 use crate::support;
 use crate::support::agent_bed;
 use crate::support::agent_control;
-use crate::support::agent_daemon as daemon;
-use crate::support::agent_relay as relay;
 use crate::support::agents;
+use crate::support::daemon;
+use crate::support::relay;
 
 /// A run time that no test waits for.
 const LONG: u64 = 600_000;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,15 +1,10 @@
 //! Fakes and helpers that several matters use.
 
+use std::future;
+
 pub mod agent_bed;
 pub mod agent_control;
-pub mod agent_daemon;
-pub mod agent_relay;
 pub mod agents;
-pub mod checker;
-pub mod client;
-pub mod cluster;
-use std::future;
-
 pub mod daemon;
 pub mod deployment;
 pub mod fake_control;
