--- a/tests/testsuite/support/fake_control.rs
+++ b/tests/testsuite/support/fake_control.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net;
 use std::rc;
+use std::time;
 
 use futures_util::future::LocalBoxFuture;
 use hemlockcleat::net::stream;
@@ -21,6 +22,8 @@
     Usual,
     /// Send these messages instead.
     Send(Vec<wire::Down>),
+    /// Send these messages instead, after a while in which nothing else is done.
+    Later(time::Duration, Vec<wire::Down>),
     /// Close the stream.
     Close,
 }
@@ -44,6 +47,8 @@
     pub leader: cell::RefCell<Option<String>>,
     pub leads: cell::Cell<bool>,
     pub script: cell::RefCell<Script>,
+    /// The revision that was pushed last.
+    pub pushed: cell::Cell<u64>,
     /// The configuration, pushed when it changes.
     pub config: watch::Sender<common::Config>,
     /// The hours.
@@ -105,6 +110,7 @@
             calls: cell::RefCell::default(),
             traces: cell::RefCell::default(),
             confirms: cell::Cell::new(true),
+            pushed: cell::Cell::new(0),
             refusals: cell::RefCell::default(),
             leader: cell::RefCell::default(),
             leads: cell::Cell::new(true),
@@ -180,6 +186,7 @@
             message = receiver.receive() => message,
             Ok(()) = config.changed() => {
                 let pushed = config.borrow_and_update().clone();
+                shared.pushed.set(pushed.revision);
                 sender.send(&wire::Down::Config(pushed)).await;
                 continue;
             }
@@ -205,6 +212,10 @@
                 let replies = match act {
                     Act::Usual => shared.usual(id, &body),
                     Act::Send(messages) => messages,
+                    Act::Later(after, messages) => {
+                        tokio::time::sleep(after).await;
+                        messages
+                    }
                     Act::Close => return,
                 };
                 for reply in replies {
