--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -79,7 +79,6 @@
 pub fn cli() -> clap::Command {
     let command = clap::Command::new("hemlockcleat")
         .version(env!("CARGO_PKG_VERSION"))
-        .about("Operates hemlockcleat, a scheduler for multi-accelerator jobs")
         .after_help(AFTER_HELP)
         .subcommand_required(true)
         .arg_required_else_help(true)
@@ -91,9 +90,12 @@
         .subcommand(request::cli())
         .subcommand(stand_in::cli())
         .subcommand(status::cli())
+        .subcommand(store::cli())
         .subcommand(ticket::cli())
         .subcommand(worker::cli());
+    // The options' own text would replace this one.
     Globals::augment_args(command)
+        .about("Operates hemlockcleat, a scheduler for multi-accelerator jobs")
 }
 
 /// Runs the command with the program's arguments.
@@ -116,17 +118,18 @@
     }
 }
 
-/// Prints an error with its causes.
+/// Prints an error with those of its causes that its own line does not tell yet.
 fn report(error: &error::Error) {
-    eprintln!("error: {error}");
+    let mut above = error.to_string();
+    eprintln!("error: {above}");
     let mut cause = std::error::Error::source(error);
     while let Some(source) = cause {
-        let next = source.source();
-        // A cause that only repeats the line above it helps nobody.
-        if next.is_some() {
-            eprintln!("  caused by: {source}");
+        let text = source.to_string();
+        if !above.contains(&text) {
+            eprintln!("  caused by: {text}");
         }
-        cause = next;
+        above = text;
+        cause = source.source();
     }
 }
 
@@ -140,6 +143,7 @@
         Some(("job", args)) => job::exec(&context, args).await,
         Some(("request", args)) => request::exec(&context, args).await,
         Some(("stand-in", args)) => stand_in::exec(args).await,
+        Some(("store", args)) => store::exec(&context, args),
         Some(("status", _)) => status::exec(&context).await,
         Some(("ticket", args)) => ticket::exec(&context, args).await,
         Some(("worker", args)) => worker::exec(&context, args).await,
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -51,15 +51,33 @@
 fn help_names_exit_codes_and_examples() {
     let output = command("", &["--help"]).output().expect("the program runs");
     assert_eq!(output.status.code(), Some(0));
+    assert!(text(&output.stdout).starts_with("Operates hemlockcleat"));
     assert!(text(&output.stdout).contains("Exit codes:"));
     assert!(text(&output.stdout).contains("Examples:"));
 }
 
-#[test]
-fn completions_name_subcommands() {
-    let output = command("", &["completions", "bash"]).output().expect("the program runs");
+#[rstest]
+#[case::bash("bash")]
+#[case::zsh("zsh")]
+#[case::fish("fish")]
+fn completions_name_subcommands(#[case] shell: &str) {
+    let output = command("", &["completions", shell]).output().expect("the program runs");
     assert_eq!(output.status.code(), Some(0));
-    assert!(text(&output.stdout).contains("check-settings"));
+    let subcommands = [
+        "account",
+        "check-settings",
+        "demo",
+        "job",
+        "request",
+        "stand-in",
+        "status",
+        "store",
+        "ticket",
+        "worker",
+    ];
+    for name in subcommands {
+        assert!(text(&output.stdout).contains(name), "{name}");
+    }
 }
 
 #[test]
