Test single rules of the log on one core

Change: a core spoken to by hand, with a test for each such rule.

Before: six rules taken out unseen. After: a test names each.

Conclusion: rare rules need direct tests.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod consensus;
 mod consensus_action;
 mod consensus_checks;
+mod consensus_rules;
 mod consensus_wire;
 mod consensus_world;
 mod entry;
