--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -54,6 +54,7 @@
             }
         }
         table(&all);
+        verdicts(&all);
     }
 }
 
@@ -210,3 +211,66 @@
     }
     println!();
 }
+
+/// A target: what is compared, how to read it, whether less is better, and the bound, where it is
+/// a fixed one; otherwise ours is held against the better baseline.
+struct Target {
+    name: &'static str,
+    read: fn(&Figures) -> f64,
+    less: bool,
+    bound: Option<f64>,
+}
+
+const fn against(name: &'static str, read: fn(&Figures) -> f64, less: bool) -> Target {
+    Target { name, read, less, bound: None }
+}
+
+const TARGETS: [Target; 11] = [
+    Target {
+        name: "claims start within 1.6 s and the longest grace (2 s)",
+        read: |figures| figures.claim_longest,
+        less: true,
+        bound: Some(3.6),
+    },
+    Target {
+        name: "urgent start p99 within 1.6 s",
+        read: |figures| figures.urgent_p99,
+        less: true,
+        bound: Some(1.6),
+    },
+    against("deadlines met", |figures| figures.met, false),
+    against("largest placeable gang over free", |figures| figures.placeable, false),
+    against("completion p50", |figures| figures.done_p50, true),
+    against("completion p99", |figures| figures.done_p99, true),
+    against("completion p50 but idle", |figures| figures.busy_p50, true),
+    against("completion p99 but idle", |figures| figures.busy_p99, true),
+    against("longest wait urgent", |figures| figures.longest[0], true),
+    against("longest wait scheduled", |figures| figures.longest[1], true),
+    against("longest wait deferred", |figures| figures.longest[2], true),
+];
+
+/// Prints which targets are met on how many seeds, and by the median.
+fn verdicts(all: &[Vec<Figures>]) {
+    println!("| target | seeds on which it is met | median against the better baseline's |");
+    println!("|---|---|---|");
+    for target in TARGETS {
+        let sign = if target.less { 1.0 } else { -1.0 };
+        let of = |policy: usize, seed: usize| sign * (target.read)(&all[policy][seed]);
+        let seeds = 0..SEEDS.len();
+        let bound = |seed: usize| target.bound.unwrap_or(of(0, seed).min(of(1, seed)));
+        let met = seeds.clone().filter(|&seed| of(2, seed) <= bound(seed)).count();
+        let median = |policy: usize| {
+            let mut values: Vec<_> = seeds.clone().map(|seed| of(policy, seed)).collect();
+            values.sort_by(f64::total_cmp);
+            values[values.len() / 2]
+        };
+        let limit = target.bound.unwrap_or(median(0).min(median(1)));
+        let word = match median(2).total_cmp(&limit) {
+            std::cmp::Ordering::Less => "better",
+            std::cmp::Ordering::Equal => "equal",
+            std::cmp::Ordering::Greater => "worse",
+        };
+        println!("| {} | {met} of {} | {word} |", target.name, SEEDS.len());
+    }
+    println!();
+}
--- a/src/core/placement/adopt.rs
+++ b/src/core/placement/adopt.rs
@@ -3,10 +3,10 @@
 use crate::core::account;
 use crate::core::ledger::job;
 use crate::core::placement::fit;
-use crate::core::placement::fleet;
 use crate::core::placement::plan;
 use crate::core::placement::planner::Planner;
 use crate::core::placement::reserve;
+use crate::core::placement::room;
 use crate::core::placement::work;
 use crate::core::shape;
 use crate::core::time;
@@ -67,7 +67,7 @@
         }
         self.reserve.move_to(&mut self.fleet, key, place);
         for &(worker, _) in place {
-            let crowded = !self.fleet.room(worker, fleet::Room::Reservable).covered();
+            let crowded = !self.fleet.room(worker, room::Room::Reservable).covered();
             let others = self.reserve.unused_on(worker).into_iter().filter(|other| *other != key);
             for other in others.collect::<Vec<_>>() {
                 if crowded {
--- a/src/core/placement/backfill.rs
+++ b/src/core/placement/backfill.rs
@@ -10,8 +10,8 @@
 use crate::core::ids;
 use crate::core::placement::decide;
 use crate::core::placement::estimate;
-use crate::core::placement::fleet;
 use crate::core::placement::planner::Planner;
+use crate::core::placement::room;
 use crate::core::placement::work;
 use crate::core::time;
 use crate::macros;
@@ -172,7 +172,7 @@
             .map(|running| (self.expected_end(now, running), running))
             .collect();
         ends.sort_by_key(|(end, running)| (*end, running.key));
-        let mut room = self.fleet.room(worker, fleet::Room::Free);
+        let mut room = self.fleet.room(worker, room::Room::Free);
         let mut tasks = room.tasks(work.shape.accelerators);
         let mut openings = Vec::new();
         if tasks > 0 {
@@ -180,7 +180,7 @@
         }
         for (end, running) in ends {
             for &(_, held) in running.place.iter().filter(|(other, _)| *other == worker) {
-                room = room.plus(fleet::Amount::of(held, running.shape.accelerators));
+                room = room.plus(room::Amount::of(held, running.shape.accelerators));
             }
             let more = room.tasks(work.shape.accelerators);
             if more > tasks {
--- a/src/core/placement/decide.rs
+++ b/src/core/placement/decide.rs
@@ -11,10 +11,10 @@
 use crate::core::account;
 use crate::core::ids;
 use crate::core::placement::fit;
-use crate::core::placement::fleet;
 use crate::core::placement::plan;
 use crate::core::placement::planner::Planner;
 use crate::core::placement::reserve;
+use crate::core::placement::room;
 use crate::core::placement::work;
 use crate::core::time;
 use crate::core::verdict;
@@ -123,7 +123,7 @@
         &self,
         now: time::Tick,
         work: &work::Work,
-        room: fleet::Room,
+        room: room::Room,
     ) -> Option<fit::Place> {
         let kept = |worker: usize| {
             let others = self.futures.iter().filter(|future| future.job != work.key);
@@ -151,7 +151,7 @@
     fn ask<'a>(
         &self,
         work: &work::Work,
-        room: fleet::Room,
+        room: room::Room,
         skip: &'a dyn Fn(usize) -> bool,
     ) -> fit::Ask<'a> {
         fit::Ask {
@@ -184,7 +184,7 @@
                 return true;
             }
         }
-        let Some(place) = self.search(now, work, fleet::Room::Spare) else { return false };
+        let Some(place) = self.search(now, work, room::Room::Spare) else { return false };
         self.reserve.move_to(&mut self.fleet, first, &place);
         self.version += 1;
         self.claim_unit(work, first, out)
@@ -220,7 +220,7 @@
     ) -> bool {
         let place = self.reserve.place(&picks);
         let free = place.iter().all(|&(worker, tasks)| {
-            let room = self.fleet.room(worker, fleet::Room::Free);
+            let room = self.fleet.room(worker, room::Room::Free);
             room.tasks(work.shape.accelerators) >= tasks
         });
         if free {
@@ -237,7 +237,7 @@
         let urgent = work.class == account::Class::Urgent;
         let fits = |worker: &usize| {
             let state = &self.fleet.workers[*worker];
-            let room = self.fleet.room(*worker, fleet::Room::Free);
+            let room = self.fleet.room(*worker, room::Room::Free);
             state.alive
                 && state.open
                 && self.fleet.offers(*worker, Some(work.service))
@@ -257,7 +257,7 @@
         stoppable: bool,
         out: &mut Vec<plan::Output>,
     ) -> bool {
-        let Some(place) = self.search(now, work, fleet::Room::Spare) else { return false };
+        let Some(place) = self.search(now, work, room::Room::Spare) else { return false };
         let hold = if stoppable { work::Hold::Lent } else { work::Hold::Pinned };
         self.grant(work.key, place, hold, BTreeSet::new(), out);
         true
@@ -265,7 +265,7 @@
 
     /// Free room, reserved or not, for work that can be stopped.
     fn borrow(&mut self, now: time::Tick, work: &work::Work, out: &mut Vec<plan::Output>) -> bool {
-        let Some(place) = self.search(now, work, fleet::Room::Free) else { return false };
+        let Some(place) = self.search(now, work, room::Room::Free) else { return false };
         self.grant(work.key, place, work::Hold::Lent, BTreeSet::new(), out);
         true
     }
@@ -277,7 +277,7 @@
         work: &work::Work,
         out: &mut Vec<plan::Output>,
     ) -> bool {
-        let Some(place) = self.search(now, work, fleet::Room::Free) else { return false };
+        let Some(place) = self.search(now, work, room::Room::Free) else { return false };
         let cleared = self.reserve.clear_way(&mut self.fleet, &place, work.shape.accelerators);
         if cleared {
             self.grant(work.key, place, work::Hold::Pinned, BTreeSet::new(), out);
@@ -303,7 +303,7 @@
         let ask = fit::Ask {
             service: Some(work.service),
             shape: work.shape,
-            room: fleet::Room::Free,
+            room: room::Room::Free,
             slow_first: false,
             thrifty: false,
             skip: &|_| false,
--- a/src/core/placement/displace.rs
+++ b/src/core/placement/displace.rs
@@ -7,9 +7,9 @@
 use crate::core::ids;
 use crate::core::placement::estimate;
 use crate::core::placement::fit;
-use crate::core::placement::fleet;
 use crate::core::placement::plan;
 use crate::core::placement::planner::Planner;
+use crate::core::placement::room;
 use crate::core::placement::work;
 use crate::core::shape;
 use crate::core::time;
@@ -109,7 +109,7 @@
         work: &work::Work,
         stoppable: bool,
     ) -> Option<(fit::Place, BTreeSet<ids::JobKey>)> {
-        let place = self.search(now, work, fleet::Room::OverIdle)?;
+        let place = self.search(now, work, room::Room::OverIdle)?;
         if !stoppable && !self.unreserved(work, &place) {
             return None;
         }
@@ -212,13 +212,13 @@
             .filter(|&&worker| self.fleet.usable(worker))
             .filter(|&&worker| self.fleet.offers(worker, Some(work.service)))
             .filter_map(|&worker| {
-                let free = self.fleet.room(worker, fleet::Room::Free);
+                let free = self.fleet.room(worker, room::Room::Free);
                 let stopping = self.fleet.workers[worker].stopping;
                 let room = self
                     .lent_on(worker)
                     .filter(|victim| movable(victim))
                     .map(|victim| on_worker(victim, worker))
-                    .fold(free.plus(stopping), fleet::Amount::plus);
+                    .fold(free.plus(stopping), room::Amount::plus);
                 let tasks = room.tasks(work.shape.accelerators);
                 (tasks > 0).then_some((worker, tasks, free.tasks(work.shape.accelerators)))
             })
@@ -254,7 +254,7 @@
     }
 
     fn all_regions(&self, adjacency: shape::Adjacency) -> Vec<Vec<usize>> {
-        let racks_of = |center: usize| self.fleet.racks_from(center, fleet::Room::Free, 0).rev();
+        let racks_of = |center: usize| self.fleet.racks_from(center, room::Room::Free, 0).rev();
         let workers_of = |rack: usize| self.fleet.racks[rack].workers.iter().copied();
         let centers = 0..self.fleet.centers.len();
         let per_center = MAX_REGIONS / self.fleet.centers.len().max(1) + 1;
@@ -277,7 +277,7 @@
     /// Whether a place for work that can't be stopped leaves room for every guarantee.
     fn unreserved(&self, work: &work::Work, place: &fit::Place) -> bool {
         place.iter().all(|&(worker, tasks)| {
-            let room = self.fleet.room(worker, fleet::Room::Reservable);
+            let room = self.fleet.room(worker, room::Room::Reservable);
             room.tasks(work.shape.accelerators) >= tasks
         })
     }
@@ -294,8 +294,8 @@
         let mut total = 0;
         for &(worker, tasks) in place {
             let state = &self.fleet.workers[worker];
-            let need = fleet::Amount::of(tasks, work.shape.accelerators);
-            let mut room = self.fleet.room(worker, fleet::Room::Free).plus(state.stopping);
+            let need = room::Amount::of(tasks, work.shape.accelerators);
+            let mut room = self.fleet.room(worker, room::Room::Free).plus(state.stopping);
             for victim in self.lent_on(worker).filter(|victim| victims.contains(&victim.key)) {
                 room = room.plus(on_worker(victim, worker));
             }
@@ -366,10 +366,10 @@
 }
 
 /// What a job takes on one worker.
-fn on_worker(work: &work::Work, worker: usize) -> fleet::Amount {
+fn on_worker(work: &work::Work, worker: usize) -> room::Amount {
     work.place
         .iter()
         .filter(|(other, _)| *other == worker)
-        .map(|&(_, tasks)| fleet::Amount::of(tasks, work.shape.accelerators))
-        .fold(fleet::Amount::default(), fleet::Amount::plus)
+        .map(|&(_, tasks)| room::Amount::of(tasks, work.shape.accelerators))
+        .fold(room::Amount::default(), room::Amount::plus)
 }
--- a/src/core/placement/feasible.rs
+++ b/src/core/placement/feasible.rs
@@ -12,6 +12,7 @@
 use crate::core::ledger::job;
 use crate::core::placement::fit;
 use crate::core::placement::fleet;
+use crate::core::placement::room;
 use crate::core::shape;
 use crate::macros;
 
@@ -90,7 +91,7 @@
             return done;
         };
         for (worker, tasks) in place {
-            let amount = fleet::Amount::of(tasks, guarantee.shape.accelerators);
+            let amount = room::Amount::of(tasks, guarantee.shape.accelerators);
             fleet.change(worker, |worker| worker.reserved = worker.reserved.plus(amount));
         }
     }
@@ -102,7 +103,7 @@
     let ask = fit::Ask {
         service: None,
         shape,
-        room: fleet::Room::Reservable,
+        room: room::Room::Reservable,
         slow_first: true,
         thrifty: false,
         skip: &|_| false,
--- a/src/core/placement/fleet.rs
+++ b/src/core/placement/fleet.rs
@@ -7,101 +7,7 @@
 
 use crate::core::ids;
 use crate::core::ledger::job;
-use crate::macros;
-
-macros::small! {
-    /// Which part of a worker's capacity counts as room.
-    pub enum Room {
-        /// What nothing holds and no guarantee reserves.
-        Spare,
-        /// What nothing holds, reserved or not.
-        Free,
-        /// What no guarantee reserves and no unstoppable work holds.
-        Reservable,
-        /// What nothing holds, or work of the class idle holds that can be stopped, or work holds
-        /// that is being stopped.
-        OverIdle,
-    }
-
-    /// A quantity of slots and accelerators.
-    #[derive(Default)]
-    pub struct Amount {
-        /// Slots; a task takes one slot and one connection.
-        pub slots: i64,
-        /// Accelerators.
-        pub accelerators: i64,
-    }
-
-    /// How much a worker is trusted, best first.
-    pub enum Trust {
-        /// Its outcomes give no reason for doubt.
-        Good,
-        /// It failed lately; it is taken where no good worker has room.
-        Suspect,
-        /// It is excluded but for probes.
-        Probation,
-    }
-}
-
-impl Amount {
-    /// What `tasks` tasks of `accelerators` accelerators each take.
-    pub fn of(tasks: u32, accelerators: u32) -> Self {
-        let tasks = i64::from(tasks);
-        Self { slots: tasks, accelerators: tasks * i64::from(accelerators) }
-    }
-
-    /// The sum.
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            slots: self.slots + other.slots,
-            accelerators: self.accelerators + other.accelerators,
-        }
-    }
-
-    /// The difference, which may be negative.
-    pub fn minus(self, other: Self) -> Self {
-        Self {
-            slots: self.slots - other.slots,
-            accelerators: self.accelerators - other.accelerators,
-        }
-    }
-
-    /// The quantity with its sign kept (1) or turned (-1).
-    pub fn times(self, sign: i64) -> Self {
-        Self { slots: self.slots * sign, accelerators: self.accelerators * sign }
-    }
-
-    /// The smaller of each quantity.
-    pub fn min(self, other: Self) -> Self {
-        Self {
-            slots: self.slots.min(other.slots),
-            accelerators: self.accelerators.min(other.accelerators),
-        }
-    }
-
-    /// How many tasks of `accelerators` accelerators each it holds.
-    pub fn tasks(self, accelerators: u32) -> u32 {
-        let slots = self.slots.max(0);
-        let tasks = match accelerators {
-            0 => slots,
-            each => slots.min(self.accelerators.max(0) / i64::from(each)),
-        };
-        u32::try_from(tasks).unwrap_or(u32::MAX)
-    }
-
-    /// Whether neither quantity is negative.
-    pub fn covered(self) -> bool {
-        self.slots >= 0 && self.accelerators >= 0
-    }
-}
-
-/// How many kinds of room there are.
-const ROOMS: usize = 4;
-
-impl Room {
-    /// Every kind of room, in the order of the indices.
-    pub const ALL: [Room; ROOMS] = [Room::Spare, Room::Free, Room::Reservable, Room::OverIdle];
-}
+use crate::core::placement::room;
 
 /// The position of a worker in one index: its room in accelerators, whether its rack is whole,
 /// and the worker. The first entry from a wanted room on is the best fit.
@@ -119,7 +25,7 @@
     /// Whether it is known to the ledger and not lost.
     pub alive: bool,
     /// How much it is trusted.
-    pub trust: Trust,
+    pub trust: room::Trust,
     /// Its speed in percent of the common worker.
     pub speed: u32,
     /// Its rack.
@@ -127,21 +33,21 @@
     /// Its pool.
     pub pool: usize,
     /// What it has.
-    pub total: Amount,
+    pub total: room::Amount,
     /// What placed, running and promised work takes.
-    pub held: Amount,
+    pub held: room::Amount,
     /// What unstoppable work outside of guarantees takes.
-    pub pinned: Amount,
+    pub pinned: room::Amount,
     /// What guarantees reserve.
-    pub reserved: Amount,
+    pub reserved: room::Amount,
     /// What stoppable work of the class idle takes outside of guarantees.
-    pub idle: Amount,
+    pub idle: room::Amount,
     /// What work takes that is being stopped.
-    pub stopping: Amount,
+    pub stopping: room::Amount,
     /// The jobs that hold something here.
     pub jobs: Vec<ids::JobKey>,
-    entries: [Option<Entry>; ROOMS],
-    counted: [i64; ROOMS],
+    entries: [Option<Entry>; room::COUNT],
+    counted: [i64; room::COUNT],
     counted_total: i64,
 }
 
@@ -153,8 +59,8 @@
     /// Speed in percent.
     pub speed: u32,
     /// Trust.
-    pub trust: Trust,
-    index: [BTreeSet<Entry>; ROOMS],
+    pub trust: room::Trust,
+    index: [BTreeSet<Entry>; room::COUNT],
 }
 
 /// A rack.
@@ -166,7 +72,7 @@
     pub workers: Vec<usize>,
     /// Accelerators of its usable workers.
     pub total: i64,
-    room: [i64; ROOMS],
+    room: [i64; room::COUNT],
 }
 
 /// A data centre.
@@ -174,8 +80,8 @@
 pub struct Center {
     /// Its racks.
     pub racks: Vec<usize>,
-    room: [i64; ROOMS],
-    index: [BTreeSet<(i64, usize)>; ROOMS],
+    room: [i64; room::COUNT],
+    index: [BTreeSet<(i64, usize)>; room::COUNT],
 }
 
 /// All workers.
@@ -193,7 +99,7 @@
     services: BTreeMap<String, usize>,
     center_names: BTreeMap<String, usize>,
     rack_names: BTreeMap<(usize, String), usize>,
-    pool_names: BTreeMap<(Vec<usize>, u32, Trust), usize>,
+    pool_names: BTreeMap<(Vec<usize>, u32, room::Trust), usize>,
 }
 
 impl Fleet {
@@ -228,7 +134,7 @@
         self.move_rack(index, rack);
         let services = self.service_set(&spec.services);
         let slots = i64::from(spec.slots.min(spec.connections));
-        let total = Amount { slots, accelerators: i64::from(spec.accelerators) };
+        let total = room::Amount { slots, accelerators: i64::from(spec.accelerators) };
         let trust = self.workers[index].trust;
         let pool = self.pool(services, spec.speed, trust);
         self.change(index, |worker| {
@@ -243,7 +149,7 @@
     }
 
     /// Sets how much a worker is trusted.
-    pub fn set_trust(&mut self, index: usize, trust: Trust) {
+    pub fn set_trust(&mut self, index: usize, trust: room::Trust) {
         let pool = &self.pools[self.workers[index].pool];
         let pool = self.pool(pool.services.clone(), pool.speed, trust);
         self.change(index, |worker| {
@@ -271,7 +177,7 @@
     /// Whether a worker may get new work or reservations.
     pub fn usable(&self, index: usize) -> bool {
         let worker = &self.workers[index];
-        worker.alive && worker.open && worker.trust != Trust::Probation
+        worker.alive && worker.open && worker.trust != room::Trust::Probation
     }
 
     /// Whether a worker offers a service.
@@ -281,15 +187,15 @@
     }
 
     /// The room on a worker, usable or not.
-    pub fn room(&self, index: usize, room: Room) -> Amount {
+    pub fn room(&self, index: usize, room: room::Room) -> room::Amount {
         let worker = &self.workers[index];
         let free = worker.total.minus(worker.held);
         let unreserved = worker.total.minus(worker.pinned).minus(worker.reserved);
         match room {
-            Room::Free => free,
-            Room::Reservable => unreserved,
-            Room::Spare => free.min(unreserved),
-            Room::OverIdle => free.plus(worker.idle).plus(worker.stopping),
+            room::Room::Free => free,
+            room::Room::Reservable => unreserved,
+            room::Room::Spare => free.min(unreserved),
+            room::Room::OverIdle => free.plus(worker.idle).plus(worker.stopping),
         }
     }
 
@@ -297,7 +203,7 @@
     pub fn fitting(
         &self,
         pool: usize,
-        room: Room,
+        room: room::Room,
         accelerators: i64,
     ) -> impl Iterator<Item = usize> + '_ {
         let from = (accelerators, false, 0);
@@ -308,26 +214,26 @@
     pub fn racks_from(
         &self,
         center: usize,
-        room: Room,
+        room: room::Room,
         accelerators: i64,
     ) -> impl DoubleEndedIterator<Item = (i64, usize)> + '_ {
         self.centers[center].index[room as usize].range((accelerators, 0)..).copied()
     }
 
     /// The room of a data centre in accelerators.
-    pub fn center_room(&self, center: usize, room: Room) -> i64 {
+    pub fn center_room(&self, center: usize, room: room::Room) -> i64 {
         self.centers[center].room[room as usize]
     }
 
     /// The room of a rack in accelerators.
-    pub fn rack_room(&self, rack: usize, room: Room) -> i64 {
+    pub fn rack_room(&self, rack: usize, room: room::Room) -> i64 {
         self.racks[rack].room[room as usize]
     }
 
     fn insert(&mut self, key: ids::WorkerKey, spec: &job::WorkerSpec) -> usize {
         let index = self.workers.len();
         let rack = self.rack(&spec.center, &spec.rack);
-        let pool = self.pool(Vec::new(), spec.speed, Trust::Good);
+        let pool = self.pool(Vec::new(), spec.speed, room::Trust::Good);
         self.racks[rack].workers.push(index);
         self.keys.insert(key, index);
         self.workers.push(Worker {
@@ -335,19 +241,19 @@
             epoch: ids::Epoch(0),
             open: false,
             alive: false,
-            trust: Trust::Good,
+            trust: room::Trust::Good,
             speed: spec.speed,
             rack,
             pool,
-            total: Amount::default(),
-            held: Amount::default(),
-            pinned: Amount::default(),
-            reserved: Amount::default(),
-            idle: Amount::default(),
-            stopping: Amount::default(),
+            total: room::Amount::default(),
+            held: room::Amount::default(),
+            pinned: room::Amount::default(),
+            reserved: room::Amount::default(),
+            idle: room::Amount::default(),
+            stopping: room::Amount::default(),
             jobs: Vec::new(),
-            entries: [None; ROOMS],
-            counted: [0; ROOMS],
+            entries: [None; room::COUNT],
+            counted: [0; room::COUNT],
             counted_total: 0,
         });
         index
@@ -373,7 +279,7 @@
         let next = self.racks.len();
         let rack = *self.rack_names.entry((center, rack.to_owned())).or_insert(next);
         if rack == next {
-            self.racks.push(Rack { center, workers: Vec::new(), total: 0, room: [0; ROOMS] });
+            self.racks.push(Rack { center, workers: Vec::new(), total: 0, room: [0; room::COUNT] });
             self.centers[center].racks.push(rack);
             for index in &mut self.centers[center].index {
                 index.insert((0, rack));
@@ -382,7 +288,7 @@
         rack
     }
 
-    fn pool(&mut self, services: Vec<usize>, speed: u32, trust: Trust) -> usize {
+    fn pool(&mut self, services: Vec<usize>, speed: u32, trust: room::Trust) -> usize {
         let next = self.pools.len();
         let name = (services.clone(), speed, trust);
         let pool = *self.pool_names.entry(name).or_insert(next);
@@ -400,7 +306,7 @@
     }
 
     fn unindex(&mut self, index: usize, pool: usize) {
-        for room in Room::ALL {
+        for room in room::Room::ALL {
             if let Some(entry) = self.workers[index].entries[room as usize].take() {
                 self.pools[pool].index[room as usize].remove(&entry);
             }
@@ -413,21 +319,21 @@
         let usable = self.usable(index);
         let rack_key = self.workers[index].rack;
         let total = if usable { self.workers[index].total.accelerators } else { 0 };
-        let before = Room::ALL.map(|room| self.whole(rack_key, room));
+        let before = room::Room::ALL.map(|room| self.whole(rack_key, room));
         let total_change = total - self.workers[index].counted_total;
         self.workers[index].counted_total = total;
         self.racks[rack_key].total += total_change;
-        for room in Room::ALL {
+        for room in room::Room::ALL {
             let now = if usable { self.indexed_room(index, room) } else { 0 };
             let worker = &mut self.workers[index];
             let change = now - worker.counted[room as usize];
             worker.counted[room as usize] = now;
             self.add_room(rack_key, room, change);
         }
-        before != Room::ALL.map(|room| self.whole(rack_key, room))
+        before != room::Room::ALL.map(|room| self.whole(rack_key, room))
     }
 
-    fn add_room(&mut self, rack_key: usize, room: Room, change: i64) {
+    fn add_room(&mut self, rack_key: usize, room: room::Room, change: i64) {
         if change == 0 {
             return;
         }
@@ -439,13 +345,13 @@
         center.index[room as usize].insert((rack.room[room as usize], rack_key));
     }
 
-    fn whole(&self, rack: usize, room: Room) -> bool {
+    fn whole(&self, rack: usize, room: room::Room) -> bool {
         let rack = &self.racks[rack];
         rack.room[room as usize] == rack.total
     }
 
     /// Room in accelerators; none where no slot is left.
-    fn indexed_room(&self, index: usize, room: Room) -> i64 {
+    fn indexed_room(&self, index: usize, room: room::Room) -> i64 {
         let amount = self.room(index, room);
         if amount.slots <= 0 { 0 } else { amount.accelerators.max(0) }
     }
@@ -453,7 +359,7 @@
     fn refresh(&mut self, index: usize) {
         let usable = self.usable(index);
         let pool = self.workers[index].pool;
-        for room in Room::ALL {
+        for room in room::Room::ALL {
             let whole = self.whole(self.workers[index].rack, room);
             let fits = usable && self.room(index, room).slots > 0;
             let entry = fits.then(|| (self.indexed_room(index, room), whole, index));
--- a/src/core/placement/grant.rs
+++ b/src/core/placement/grant.rs
@@ -6,9 +6,9 @@
 use crate::core::ids;
 use crate::core::ledger::job;
 use crate::core::placement::fit;
-use crate::core::placement::fleet;
 use crate::core::placement::plan;
 use crate::core::placement::planner::Planner;
+use crate::core::placement::room;
 use crate::core::placement::work;
 use crate::core::time;
 
@@ -174,7 +174,7 @@
         let place = self.jobs.get(&key).map(|work| work.place.as_slice()).unwrap_or_default();
         place
             .iter()
-            .filter(|&&(worker, _)| !self.fleet.room(worker, fleet::Room::Free).covered())
+            .filter(|&&(worker, _)| !self.fleet.room(worker, room::Room::Free).covered())
             .flat_map(|&(worker, _)| self.fleet.workers[worker].jobs.iter().copied())
             .filter(stopping)
             .collect()
@@ -188,7 +188,7 @@
         let lent = work.hold == work::Hold::Lent;
         let idle = lent && !stopping && work.class == account::Class::Idle;
         for &(index, tasks) in &work.place {
-            let amount = fleet::Amount::of(tasks, work.shape.accelerators).times(sign);
+            let amount = room::Amount::of(tasks, work.shape.accelerators).times(sign);
             self.fleet.change(index, |worker| {
                 worker.held = worker.held.plus(amount);
                 if pinned {
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -19,4 +19,5 @@
 pub mod planner;
 mod queue;
 mod reserve;
+pub mod room;
 mod work;
--- a/src/core/placement/planner.rs
+++ b/src/core/placement/planner.rs
@@ -12,6 +12,7 @@
 use crate::core::placement::plan;
 use crate::core::placement::queue;
 use crate::core::placement::reserve;
+use crate::core::placement::room;
 use crate::core::placement::work;
 use crate::core::time;
 
@@ -108,9 +109,9 @@
     /// What is known of a worker's health: `good`, `suspect`, `probation` or `unknown`.
     pub fn health(&self, key: ids::WorkerKey) -> &'static str {
         match self.fleet.find(key).map(|index| self.fleet.workers[index].trust) {
-            Some(fleet::Trust::Good) => "good",
-            Some(fleet::Trust::Suspect) => "suspect",
-            Some(fleet::Trust::Probation) => "probation",
+            Some(room::Trust::Good) => "good",
+            Some(room::Trust::Suspect) => "suspect",
+            Some(room::Trust::Probation) => "probation",
             None => "unknown",
         }
     }
