--- a/tests/testsuite/entry_faults.rs
+++ b/tests/testsuite/entry_faults.rs
@@ -167,6 +167,8 @@
 enum Cut {
     /// A chunk is left out.
     Hole,
+    /// Two chunks come in the wrong order.
+    Swapped,
     /// The last chunk says that more follows.
     Endless,
     /// The answer ends early.
@@ -185,6 +187,10 @@
         Cut::Hole => {
             chunks.remove(1.min(chunks.len() - 1));
         }
+        Cut::Swapped => {
+            let last = chunks.len() - 1;
+            chunks.swap(0, 1.min(last));
+        }
         Cut::Endless | Cut::Short | Cut::Corrupt => {
             let last = chunks.pop();
             if let Some(wire::Down::Reply {
@@ -210,6 +216,11 @@
     wire::Down::Reply { id, body: wire::Reply::Chunk { offset, bytes, last } }
 }
 
+/// An answer of five chunks, no two of them equal.
+fn answer() -> Vec<u8> {
+    (0..4500u32).map(|index| (index / 7) as u8).collect()
+}
+
 /// Damages the first `count` answers, or all of them.
 fn damage(control: &fake_control::FakeControl, fault: Cut, answer: Vec<u8>, count: usize) {
     control.finish("swan-coast", "r1", &answer);
@@ -226,6 +237,7 @@
 
 #[rstest]
 #[case::hole(Cut::Hole)]
+#[case::swapped(Cut::Swapped)]
 #[case::endless(Cut::Endless)]
 #[case::short(Cut::Short)]
 #[case::corrupt(Cut::Corrupt)]
@@ -233,7 +245,7 @@
 #[case::closed(Cut::Closed)]
 fn answer_damaged_is_never_whole(#[case] fault: Cut) {
     cases::with_entry(async |control, entry| {
-        damage(control, fault, vec![7; 4500], usize::MAX);
+        damage(control, fault, answer(), usize::MAX);
         let reply = cases::get(entry, &format!("{}/answer", cases::REQUEST)).await;
         assert_eq!(reply.status, 200);
         assert!(!reply.whole, "a damaged answer of {} bytes passed", reply.body.len());
@@ -242,15 +254,16 @@
 
 #[rstest]
 #[case::hole(Cut::Hole)]
+#[case::swapped(Cut::Swapped)]
 #[case::short(Cut::Short)]
 #[case::endless(Cut::Endless)]
 #[case::closed(Cut::Closed)]
 fn answer_damaged_once_is_asked_for_again(#[case] fault: Cut) {
     cases::with_entry(async |control, entry| {
-        damage(control, fault, vec![7; 4500], 1);
+        damage(control, fault, answer(), 1);
         let reply = cases::get(entry, &format!("{}/answer", cases::REQUEST)).await;
         assert!(reply.whole);
-        assert_eq!(reply.body, vec![7; 4500]);
+        assert_eq!(reply.body, answer());
     });
 }
 
@@ -310,9 +323,11 @@
         let path = "/v1/accounts/newer/requests/x";
         while cases::get(entry, path).await.status != 404 {}
         push(2, "older");
-        // The push has arrived once a later one has.
-        push(4, "newer");
-        while cases::get(entry, "/v1/status").await.json()["entry_revision"] != 4 {}
+        while control.shared.pushed.get() != 2 {
+            tokio::task::yield_now().await;
+        }
+        // Its answer comes behind the push.
+        assert_eq!(cases::get(entry, "/v1/status").await.json()["entry_revision"], 3);
         assert_eq!(cases::get(entry, path).await.status, 404);
         let older = "/v1/accounts/older/requests/x";
         assert_eq!(cases::get(entry, older).await.status, 401);
@@ -374,3 +389,71 @@
         assert_eq!((sequence, counts[0].2), (2, 1));
     });
 }
+
+/// Answers the first submission after a while, the others at once.
+fn delay_first(control: &fake_control::FakeControl, after: time::Duration) {
+    let shared = rc::Rc::downgrade(&control.shared);
+    let mut first = true;
+    control.script(move |id, call| {
+        let wire::Call::Submit(_) = call else { return fake_control::Act::Usual };
+        if !std::mem::take(&mut first) {
+            return fake_control::Act::Usual;
+        }
+        let replies = shared.upgrade().expect("the fake lives").usual(id, call);
+        fake_control::Act::Later(after, replies)
+    });
+}
+
+#[test]
+fn submit_answered_late_crosses_nobody() {
+    cases::with_entry(async |control, entry| {
+        // Later than the patience of the test's entry.
+        delay_first(control, time::Duration::from_millis(1700));
+        let reply = cases::submit(entry, cases::REQUEST).await;
+        assert_eq!((reply.status, &reply.json()["verdict"]), (503, &"may-have-run".into()));
+        let other = "/v1/accounts/swan-coast/requests/other";
+        let reply = cases::submit(entry, other).await;
+        assert_eq!((reply.status, &reply.json()["key"]), (202, &"other".into()));
+    });
+}
+
+#[test]
+fn stop_lets_open_requests_end() {
+    support::run(async {
+        let control = fake_control::FakeControl::start().await;
+        let settings = cases::settings(&[control.addr()]);
+        let entry = entry::Entry::start(settings).await.expect("an entry");
+        cases::ready(&entry).await;
+        delay_first(&control, time::Duration::from_millis(300));
+        let addr = entry.addr();
+        let body = cases::submission().to_string();
+        let token = fake_control::TOKEN;
+        let submit = http_client::send(addr, "PUT", cases::REQUEST, token, &body);
+        let stop = async {
+            while control.submissions() == 0 {
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+            entry.stop().await;
+        };
+        let (reply, ()) = tokio::join!(submit, stop);
+        assert_eq!(reply.status, 202, "{reply:?}");
+        assert!(tokio::net::TcpStream::connect(addr).await.is_err());
+        control.stop().await;
+    });
+}
+
+#[test]
+fn resends_bounded_by_one_budget() {
+    const CALLERS: usize = 60;
+    cases::with_entry(async |control, entry| {
+        fail_submits(control, Fault::Undecided, usize::MAX);
+        let keys = (0..CALLERS).map(|key| format!("/v1/accounts/swan-coast/requests/{key}"));
+        let submits = keys.map(async |path| cases::submit(entry, &path).await.status);
+        let statuses = futures_util::future::join_all(submits).await;
+        assert_eq!(statuses, [503; CALLERS]);
+        // Ten resends to begin with, and one for each ten first sends.
+        let bound = CALLERS + 10 + CALLERS / 10;
+        let seen = control.submissions();
+        assert!(seen <= bound, "{seen} sends for {CALLERS} requests");
+    });
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,17 +1,17 @@
 //! Fakes and helpers that several matters use.
 
+use std::future;
+
 pub mod agent_bed;
 pub mod agent_control;
 pub mod agents;
 pub mod daemon;
+pub mod deployment;
 pub mod fake_control;
 pub mod http_client;
+pub mod ledger;
 pub mod plans;
 pub mod relay;
-
-use std::future;
-
-pub mod ledger;
 pub mod world;
 
 /// Runs a test body on the runtime that the daemons use.
