Stop only work that may be repeated

Cause: the ledger releases a request that may not be repeated once, so such work, stopped at a checkpoint, ends as may-have-run instead of going on. Ruled out: a second release from the checkpoint; the ledger forbids it. Change: only repeatable kinds are lent; the checker of the random sequences is stricter in the same way.

--- a/src/core/placement/catalog.rs
+++ b/src/core/placement/catalog.rs
@@ -48,9 +48,10 @@
 }
 
 impl Kind {
-    /// Whether its tasks may be stopped for others without harm to the request.
+    /// Whether its tasks may be stopped for others without harm to the request: a request that may
+    /// not be repeated is released once, so that it could not go on from its checkpoint.
     pub fn stoppable(&self) -> bool {
-        self.repeatable || self.checkpoint.is_some()
+        self.repeatable
     }
 
     /// How long it may take to stop.
--- a/src/core/placement/displace.rs
+++ b/src/core/placement/displace.rs
@@ -41,9 +41,6 @@
 /// What stopping any job costs at least, in accelerator milliseconds.
 const STOP_COST: u64 = 500;
 
-/// How much dearer it is to stop work that may not be repeated.
-const UNREPEATABLE_FACTOR: u64 = 16;
-
 /// Jobs to stop, and what that costs in accelerator milliseconds.
 type Victims = (u64, BTreeSet<ids::JobKey>);
 
@@ -347,10 +344,9 @@
             Some(_) => kind.grace(),
             None => work.elapsed(now),
         };
-        let factor = if kind.repeatable { 1 } else { UNREPEATABLE_FACTOR };
         let accelerators = work.shape.total().max(1);
         let once = lost.0.saturating_mul(accelerators).saturating_add(STOP_COST);
-        once.saturating_mul(factor).saturating_mul(1 + u64::from(work.preempted))
+        once.saturating_mul(1 + u64::from(work.preempted))
     }
 
     /// How long a gang would still wait if nothing were moved for it.
--- a/tests/testsuite/placement_random.rs
+++ b/tests/testsuite/placement_random.rs
@@ -361,8 +361,7 @@
 }
 
 fn stoppable(config: &account::Config, queued: &plan::Queued) -> bool {
-    let kind = config.kind(&queued.service, &queued.kind).unwrap();
-    kind.repeatable || kind.checkpoint.is_some()
+    config.kind(&queued.service, &queued.kind).unwrap().repeatable
 }
 
 fn adjacent(workers: &[u32], adjacency: shape::Adjacency) -> bool {
