--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -160,7 +160,7 @@
         if (self.state.idle() && noted) || self.end.is_some_and(|end| now >= end) {
             return true;
         }
-        if now >= cut && self.end.is_none() {
+        if now >= cut && self.end.is_none() && !self.state.idle() {
             self.end = Some(now + CUT_GRACE + CUT_WAIT);
             event::agent::CUT_SHORT.log(format_args!("tasks={}", self.state.occupied()));
             self.step(state::Input::StopAll(CUT_GRACE));
