--- a/src/core/placement/planner.rs
+++ b/src/core/placement/planner.rs
@@ -12,6 +12,7 @@
 use crate::core::placement::plan;
 use crate::core::placement::queue;
 use crate::core::placement::reserve;
+use crate::core::placement::room;
 use crate::core::placement::work;
 use crate::core::time;
 
@@ -108,9 +109,9 @@
     /// What is known of a worker's health: `good`, `suspect`, `probation` or `unknown`.
     pub fn health(&self, key: ids::WorkerKey) -> &'static str {
         match self.fleet.find(key).map(|index| self.fleet.workers[index].trust) {
-            Some(fleet::Trust::Good) => "good",
-            Some(fleet::Trust::Suspect) => "suspect",
-            Some(fleet::Trust::Probation) => "probation",
+            Some(room::Trust::Good) => "good",
+            Some(room::Trust::Suspect) => "suspect",
+            Some(room::Trust::Probation) => "probation",
             None => "unknown",
         }
     }
@@ -182,6 +183,7 @@
             self.grown = now;
         }
         self.usability_changed(now, index);
+        self.judge(now, [index]);
     }
 
     fn reopen(&mut self, index: usize) {
@@ -196,6 +198,7 @@
     fn worker_lost(&mut self, now: time::Tick, key: ids::WorkerKey) {
         let Some(index) = self.fleet.find(key) else { return };
         self.fleet.change(index, |worker| worker.alive = false);
+        self.health.lost(now, index);
         self.usability_changed(now, index);
     }
 
@@ -315,7 +318,7 @@
         self.health.inconclusive(key, workers);
         if let Some(index) = worker.and_then(|worker| self.fleet.find(worker)) {
             self.health.failed(now, key, source, index);
-            self.judge(now, [index]);
+            self.judge(now, self.health.failed_on(key));
         }
         self.give_back(now, key, out);
         let Some(work) = self.jobs.get_mut(&key) else { return };
@@ -353,6 +356,7 @@
                 self.health.inconclusive(key, workers.iter().copied());
                 if let Some(index) = self.fleet.find(worker) {
                     self.health.failed(now, key, source, index);
+                    self.judge(now, self.health.failed_on(key));
                 }
             }
             plan::RunResult::Preempted => {
