--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -143,7 +143,6 @@
         Some(("job", args)) => job::exec(&context, args).await,
         Some(("request", args)) => request::exec(&context, args).await,
         Some(("stand-in", args)) => stand_in::exec(args).await,
-        Some(("store", args)) => store::exec(&context, args),
         Some(("status", _)) => status::exec(&context).await,
         Some(("store", args)) => store::exec(&context, args),
         Some(("ticket", args)) => ticket::exec(&context, args).await,
