End an agent's session when a part of its answer is not stored

Seen: once in twenty planned stops two requests that may not be repeated ended as `ran` without an answer. Cause: the leader ignored a chunk whose proposal failed and went on to take the end of the attempt; a replica that lost its lead and won it again on the same session then committed an end whose answer had a hole. Ruled out: the ledger, which rightly refused the answer. The session now ends, and the agent sends the answer from its start again on the next. A test fails a proposal under a session, seen red and then green.

Besides: the control daemon ends when its replica has failed, both daemons listen for SIGTERM from before their start, and a control replica sets its gauges.

--- a/src/bin/hemlockcleat-agent.rs
+++ b/src/bin/hemlockcleat-agent.rs
@@ -26,9 +26,10 @@
     };
     let telemetry = settings.telemetry.clone();
     ops::daemon::run(&telemetry, async move {
+        let signal = ops::daemon::stop_signal();
         let agent = agent::Agent::start(settings).await?;
         event::general::STARTED.log(format_args!("role=agent addr={}", agent.addr()));
-        ops::daemon::stop_signal().await?;
+        signal.await?;
         event::general::STOPPING.log(format_args!("role=agent"));
         agent.stop().await;
         event::general::STOPPED.log(format_args!("role=agent"));
--- a/src/bin/hemlockcleat-control.rs
+++ b/src/bin/hemlockcleat-control.rs
@@ -25,8 +25,15 @@
     };
     let telemetry = settings.telemetry.clone();
     ops::daemon::run(&telemetry, async move {
+        let signal = ops::daemon::stop_signal();
         let control = control::Control::start(settings).await?;
-        ops::daemon::stop_signal().await?;
+        tokio::select! {
+            signal = signal => signal?,
+            cause = control.failed() => {
+                control.stop().await;
+                return Err(cause.into());
+            }
+        }
         control.stop().await;
         Ok(())
     })
--- a/src/control/agent_session.rs
+++ b/src/control/agent_session.rs
@@ -46,7 +46,11 @@
     loop {
         tokio::select! {
             message = receiver.receive() => match message {
-                Some(message) => session.take(message).await,
+                Some(message) => {
+                    if !session.take(message).await {
+                        break;
+                    }
+                }
                 None => break,
             },
             Ok(()) = revision.changed() => session.send_config(&mut held).await,
@@ -87,7 +91,8 @@
 }
 
 impl Session {
-    async fn take(&mut self, message: agent::Up) {
+    /// Takes one message. False if the session has to end.
+    async fn take(&mut self, message: agent::Up) -> bool {
         match message {
             agent::Up::Hello { .. } => {}
             agent::Up::Announce { spec, leaving } => {
@@ -110,7 +115,9 @@
             }
             agent::Up::Chunk { attempt, offset, bytes } => {
                 let chunk = command::Command::Chunk { attempt: attempt.into(), offset, bytes };
-                let _ = self.proposer.propose_patiently(chunk).await;
+                // An answer of which a part may be missing must not be ended on this session: the
+                // agent sends it from its start again on the next.
+                return self.proposer.propose_patiently(chunk).await.is_ok();
             }
             agent::Up::Ended { attempt, result } => {
                 let result = order::member_result(result);
@@ -121,6 +128,7 @@
                 });
             }
         }
+        true
     }
 
     /// Sends the configuration if it is newer than what the agent holds. Agents need no accounts.
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -160,6 +160,11 @@
         self.planner.shortfall()
     }
 
+    /// Attempts that hold accelerators.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
     /// The agents' sessions.
     pub fn sessions(&self) -> &BTreeMap<ids::WorkerKey, Session> {
         &self.sessions
--- a/src/control/leader_loop.rs
+++ b/src/control/leader_loop.rs
@@ -8,6 +8,7 @@
 use futures_util::stream::StreamExt as _;
 use tokio::sync::oneshot;
 
+use crate::control::gauges;
 use crate::control::lead;
 use crate::control::machine;
 use crate::control::proposer;
@@ -51,6 +52,7 @@
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut clock = Clock { logged: ids::LogIndex(0), since: time::Instant::now() };
+    let mut gauges = gauges::Gauges::default();
     let changing = rc::Rc::new(std::cell::Cell::new(false));
     loop {
         tokio::select! {
@@ -58,6 +60,7 @@
             () = shared.wake.notified() => {}
             Some(()) = pending.next(), if !pending.is_empty() => {}
             _ = ticks.tick() => {
+                gauges.tick(&proposer);
                 if proposer.log.leads() {
                     shared.with_lead(|lead, ledger, now| lead.tick(ledger, now));
                     clock.tick(&proposer, &mut pending);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -20,6 +20,7 @@
 pub mod calls;
 pub mod clock;
 pub mod entry_session;
+mod gauges;
 pub mod health;
 pub mod lead;
 pub mod leader_loop;
@@ -106,6 +107,12 @@
         self.http.addr()
     }
 
+    /// Resolves with the cause once the replica can't go on, such as a full disk or a failed sync.
+    /// The process is to end then: nothing it holds can be trusted to be durable.
+    pub async fn failed(&self) -> String {
+        self.replica.failed().await
+    }
+
     /// The planned stop: hands leadership over, closes the sessions and joins all it spawned.
     pub async fn stop(self) {
         event::general::STOPPING.log(format_args!("role=control"));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod consensus_rules;
 mod consensus_wire;
 mod consensus_world;
+mod control_session;
 mod entry;
 mod entry_contract;
 mod entry_faults;
