Tell an agent which replica welcomes it

The welcome named replica 0, and the comment on the start said that it carries the preparation again, which it does not. Found while reading as a newcomer; the session's test now holds the number.

--- a/src/control/agent_session.rs
+++ b/src/control/agent_session.rs
@@ -38,7 +38,7 @@
         redirect(&sender, leader).await;
         return;
     }
-    sender.send(&agent::Down::Welcome { replica: 0 }).await;
+    sender.send(&agent::Down::Welcome { replica: proposer.replica.0 }).await;
     let shared = proposer.shared.clone();
     let mut revision = shared.revision.subscribe();
     let mut session = Session { proposer, sender, incarnation, announced: None, worker: None };
--- a/src/wire/agent.rs
+++ b/src/wire/agent.rs
@@ -140,8 +140,8 @@
         Config(common::Config),
         /// Keep room for the tasks of an attempt.
         Prepare(Prepare),
-        /// The attempt is released: start its tasks. Carries the preparation again, so that an
-        /// agent that has lost it can still answer.
+        /// The attempt is released: start its tasks. An agent that knows no preparation answers
+        /// with the attempt's end, and never starts it.
         Start {
             /// The attempt.
             attempt: common::Attempt,
--- a/tests/testsuite/control_session.rs
+++ b/tests/testsuite/control_session.rs
@@ -107,7 +107,7 @@
         let (sender, mut receiver, connection) =
             stream::connect::<agent::Up, agent::Down>(server.addr(), "/agent").await.expect("up");
         sender.send(&hello(codec::VERSION, 0)).await;
-        assert!(matches!(receiver.receive().await, Some(agent::Down::Welcome { .. })));
+        assert!(matches!(receiver.receive().await, Some(agent::Down::Welcome { replica: 1 })));
         log.fails.set(true);
         let attempt = common::Attempt { job: 1, number: 1 };
         sender.send(&agent::Up::Chunk { attempt, offset: 0, bytes: vec![1] }).await;
