Count the time of a suspension in every lease

Cause: the steady clock of the standard library stands still while a host is suspended, so a replica that wakes would believe in a leader's lease that its peers have long seen end.

The replica's loop sleeps for the span that is left instead of until an instant.

Ruled out: checking the wall clock after each wake, which jumps.

--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -4,12 +4,12 @@
 use std::collections::BTreeMap;
 use std::rc;
 use std::sync;
-use std::time;
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::control::clock;
 use crate::control::machine;
 use crate::control::replica::Options;
 use crate::control::replica::calls;
@@ -21,6 +21,7 @@
 use crate::core::consensus::message;
 use crate::core::consensus::replica;
 use crate::core::ids;
+use crate::core::time::Millis;
 use crate::core::time::Tick;
 use crate::store;
 use crate::store::disk;
@@ -59,7 +60,7 @@
     routes: cell::RefCell<BTreeMap<entry::Identity, peer::Route>>,
     writer: cell::RefCell<Option<writer::Writer>>,
     disk: sync::Arc<dyn disk::Disk>,
-    started: time::Instant,
+    started: Millis,
     wake: tokio::sync::Notify,
     stopping: watch::Sender<bool>,
     failure: watch::Sender<Option<String>>,
@@ -99,7 +100,7 @@
                 done_sender,
             ))),
             disk,
-            started: time::Instant::now(),
+            started: clock::since_boot(),
             wake: tokio::sync::Notify::new(),
             stopping: watch::Sender::new(false),
             failure: watch::Sender::new(None),
@@ -109,7 +110,7 @@
     }
 
     fn now(&self) -> Tick {
-        Tick(self.started.elapsed().as_millis() as u64)
+        Tick(clock::since_boot().0 - self.started.0)
     }
 
     /// Queues an input for the next turn.
@@ -400,7 +401,7 @@
     let mut stopping = driver.stopping.subscribe();
     loop {
         let deadline = driver.core.borrow().deadline();
-        let due = driver.started + time::Duration::from_millis(deadline.0);
+        let due = (deadline - driver.now()).to_duration();
         tokio::select! {
             biased;
             _ = stopping.wait_for(|stopping| *stopping) => break,
@@ -411,7 +412,7 @@
                 }
             }
             () = driver.wake.notified() => {}
-            () = tokio::time::sleep_until(due.into()) => {}
+            () = tokio::time::sleep(due) => {}
         }
         driver.turn();
     }
