--- /dev/null
+++ b/src/control/dispatch_loop.rs
@@ -0,0 +1,125 @@
+//! The loop that carries out the leader's decisions on workflows.
+
+use std::time;
+
+use futures_util::future;
+use futures_util::stream as futures_stream;
+use futures_util::stream::StreamExt as _;
+use tokio::sync::oneshot;
+
+use crate::control::proposer;
+use crate::core::dispatch::order;
+use crate::core::ledger::command;
+use crate::core::workflow;
+use crate::telemetry::event;
+use crate::wire::runner;
+
+/// How often the leader looks at leases and at what waits, besides when something changes.
+const TICK: time::Duration = time::Duration::from_millis(100);
+
+type Pending = futures_stream::FuturesUnordered<future::LocalBoxFuture<'static, ()>>;
+
+/// The running loop.
+pub struct DispatchLoop {
+    task: actix_rt::task::JoinHandle<()>,
+    stop: oneshot::Sender<()>,
+}
+
+impl DispatchLoop {
+    /// Starts the loop.
+    pub fn start(proposer: proposer::Proposer) -> Self {
+        let (stop, stopped) = oneshot::channel();
+        let task = actix_rt::spawn(run(proposer, stopped));
+        Self { task, stop }
+    }
+
+    /// Stops the loop and joins it.
+    pub async fn stop(self) {
+        // An error means that the loop has ended already.
+        let _ = self.stop.send(());
+        let _ = self.task.await;
+    }
+}
+
+async fn run(proposer: proposer::Proposer, mut stopped: oneshot::Receiver<()>) {
+    let shared = proposer.shared.clone();
+    let mut pending = Pending::new();
+    let mut role = shared.role.subscribe();
+    loop {
+        let leads = shared.dispatch.borrow().is_some();
+        tokio::select! {
+            _ = &mut stopped => return,
+            () = shared.dispatch_wake.notified() => {}
+            Some(()) = pending.next(), if !pending.is_empty() => {}
+            _ = role.changed() => {}
+            () = tokio::time::sleep(TICK), if leads => {}
+        }
+        if !proposer.log.leads() {
+            continue;
+        }
+        // Not through `with_dispatch`: that would wake this loop at once.
+        let now = shared.moment();
+        let mut dispatch = shared.dispatch.borrow_mut();
+        let Some(dispatch) = dispatch.as_mut() else { continue };
+        dispatch.tick(&shared.ledger.borrow().workflows, now);
+        for effect in dispatch.take_effects() {
+            carry_out(&proposer, effect, &mut pending);
+        }
+    }
+}
+
+fn carry_out(proposer: &proposer::Proposer, effect: order::Effect, pending: &mut Pending) {
+    match effect {
+        order::Effect::Propose(command) => {
+            log_proposal(&command);
+            let proposer = proposer.clone();
+            pending.push(Box::pin(async move {
+                let command = command::Command::Workflow(command);
+                if let Err(error) = proposer.propose_patiently(command).await {
+                    // The next leader finds in the log what has become of it.
+                    event::control::PROPOSAL_LOST.log(format_args!("error={error}"));
+                }
+            }));
+        }
+        order::Effect::Order(host, order) => {
+            let runners = proposer.shared.runners.borrow();
+            let Some((_, sender)) = runners.get(&host) else { return };
+            if !sender.try_send(&runner::Down::Order(order)) {
+                // The worker's lists show that it is missing, and it is ordered again.
+                event::control::ORDER_DROPPED.log(format_args!("host={host}"));
+            }
+        }
+    }
+}
+
+fn log_proposal(command: &workflow::command::Command) {
+    match command {
+        workflow::command::Command::Place(placements) => {
+            for placement in placements {
+                event::control::TASK_PLACED.log(format_args!(
+                    "job={} occurrence={} step={} index={} run={} worker={}",
+                    placement.job,
+                    placement.occurrence,
+                    placement.step,
+                    placement.index,
+                    placement.run,
+                    placement.life
+                ));
+            }
+        }
+        workflow::command::Command::End(endings) => {
+            for ending in endings {
+                event::control::RUN_ENDED.log(format_args!(
+                    "job={} occurrence={} step={} index={} run={} how={:?}",
+                    ending.job,
+                    ending.occurrence,
+                    ending.step,
+                    ending.index,
+                    ending.run,
+                    ending.how
+                ));
+            }
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/src/control/gate_session.rs
@@ -0,0 +1,225 @@
+//! The session of a gate with a replica: calls on workflows.
+//!
+//! Only the replica that leads answers, from its ledger and within its lease, so that every answer
+//! is as new as the call: queues and credentials are those of the newest configuration.
+
+use futures_util::future;
+use futures_util::stream as futures_stream;
+use futures_util::stream::StreamExt as _;
+
+use crate::control::machine;
+use crate::control::proposer;
+use crate::control::runner_session;
+use crate::core::ledger::command;
+use crate::core::ledger::outcome;
+use crate::core::workflow;
+use crate::net::stream;
+use crate::telemetry::event;
+use crate::wire::codec;
+use crate::wire::gate;
+
+/// The most calls of one gate in hand at once; more wait in its stream.
+const MAX_CALLS: usize = 1024;
+
+/// How long a gate may be silent; it pings every second.
+const SILENCE: std::time::Duration = std::time::Duration::from_secs(10);
+
+type Pending = futures_stream::FuturesUnordered<future::LocalBoxFuture<'static, ()>>;
+
+/// Serves one gate's stream until it ends or this replica no longer leads.
+pub async fn serve(proposer: proposer::Proposer, cell: u16, incoming: stream::Incoming) {
+    let peer = incoming.peer;
+    let (sender, mut receiver) = incoming.split::<gate::Up, gate::Down>();
+    let Some(gate::Up::Hello { version, cell: named }) = receiver.receive().await else { return };
+    if version != codec::VERSION || named != cell {
+        event::control::SESSION_REFUSED
+            .log(format_args!("peer={peer} version={version} cell={named}"));
+        return;
+    }
+    let mut role = proposer.shared.role.subscribe();
+    let current = role.borrow_and_update().clone();
+    let replicas = runner_session::replicas(&proposer);
+    let machine::Role::Leader(_) = current else {
+        let leader = runner_session::leader_of(&current);
+        sender.send(&gate::Down::NotLeader(leader, replicas)).await;
+        return;
+    };
+    sender.send(&gate::Down::Welcome(replicas)).await;
+    let mut pending = Pending::new();
+    loop {
+        tokio::select! {
+            message = tokio::time::timeout(SILENCE, receiver.receive()),
+                if pending.len() < MAX_CALLS => match message {
+                Ok(Some(gate::Up::Call { id, body })) => {
+                    pending.push(Box::pin(answer(proposer.clone(), sender.clone(), id, body)));
+                }
+                Ok(Some(gate::Up::Ping)) => {
+                    if proposer.log.leads() {
+                        sender.try_send(&gate::Down::Alive);
+                    }
+                }
+                Ok(Some(gate::Up::Hello { .. })) => {}
+                Ok(None) | Err(_) => break,
+            },
+            Some(()) = pending.next(), if !pending.is_empty() => {}
+            _ = role.changed() => break,
+        }
+    }
+    // What was accepted while this replica led is still answered.
+    while pending.next().await.is_some() {}
+}
+
+async fn answer(
+    proposer: proposer::Proposer,
+    sender: stream::Sender<gate::Down>,
+    id: u64,
+    call: gate::Call,
+) {
+    let body = match call {
+        gate::Call::Submit(address, workflow) => submit(&proposer, address, workflow).await,
+        gate::Call::Show(address) => show(&proposer, &address),
+        gate::Call::Cancel(address) => cancel(&proposer, &address).await,
+        gate::Call::Configure(directory) => configure(&proposer, directory).await,
+        gate::Call::Configuration => configuration(&proposer),
+    };
+    sender.send(&gate::Down::Reply { id, body }).await;
+}
+
+/// A job that an address leads to.
+struct Target {
+    queue: workflow::directory::Queue,
+    /// The caller's identifier of the job; empty for the queue itself.
+    id: String,
+    /// The client account; empty where the queue is open.
+    account: String,
+}
+
+/// Follows an address through the newest configuration.
+fn resolve(proposer: &proposer::Proposer, address: &gate::Address) -> Result<Target, gate::Reply> {
+    if !proposer.log.leads() {
+        return Err(gate::Reply::Undecided(false));
+    }
+    let ledger = proposer.shared.ledger.borrow();
+    let Some(directory) = &ledger.workflows.directory else {
+        return Err(gate::Reply::NoConfiguration);
+    };
+    let Some(resolved) = directory.resolve(&address.host, &address.path) else {
+        return Err(gate::Reply::NoQueue);
+    };
+    let account = address.credential.as_ref().and_then(|key| directory.account_of(key));
+    let account = match account {
+        Some(account) => account.name.clone(),
+        None if resolved.queue.open => String::new(),
+        None => return Err(gate::Reply::NoCredential),
+    };
+    let queue = resolved.queue.clone();
+    Ok(Target { queue, id: resolved.rest.to_owned(), account })
+}
+
+async fn submit(
+    proposer: &proposer::Proposer,
+    address: gate::Address,
+    workflow: workflow::model::Workflow,
+) -> gate::Reply {
+    let target = match resolve(proposer, &address) {
+        Ok(target) => target,
+        Err(reply) => return reply,
+    };
+    if target.id.is_empty() || target.id.contains(['/', '.']) {
+        return gate::Reply::NoQueue;
+    }
+    if let Some(fault) = workflow.fault() {
+        return gate::Reply::Invalid(fault);
+    }
+    let submission = workflow::command::Submission {
+        place: target.queue.place(),
+        id: target.id,
+        account: target.account,
+        pool: target.queue.pool,
+        priority: target.queue.priority,
+        attempts: target.queue.attempts,
+        workflow,
+    };
+    let id = submission.id.clone();
+    match propose(proposer, workflow::command::Command::Submit(submission)).await {
+        Ok(workflow::command::Outcome::Accepted(job)) => {
+            event::control::JOB_ACCEPTED.log(format_args!("id={id} job={job}"));
+            gate::Reply::Accepted
+        }
+        Ok(_) => gate::Reply::Undecided(true),
+        Err(reply) => reply,
+    }
+}
+
+fn show(proposer: &proposer::Proposer, address: &gate::Address) -> gate::Reply {
+    let target = match resolve(proposer, address) {
+        Ok(target) => target,
+        Err(reply) => return reply,
+    };
+    let book = &proposer.shared.ledger.borrow().workflows;
+    let place = target.queue.place();
+    if target.id.is_empty() {
+        return gate::Reply::Pending(book.pending(&place));
+    }
+    match book.find(&place, &target.id) {
+        Some(key) => gate::Reply::Job(book.jobs[&key].phase),
+        None => gate::Reply::NoJob,
+    }
+}
+
+async fn cancel(proposer: &proposer::Proposer, address: &gate::Address) -> gate::Reply {
+    let target = match resolve(proposer, address) {
+        Ok(target) => target,
+        Err(reply) => return reply,
+    };
+    let id = target.id.clone();
+    let command = workflow::command::Command::Cancel(target.queue.place(), target.id);
+    match propose(proposer, command).await {
+        Ok(workflow::command::Outcome::Applied) => {
+            event::control::JOB_CANCELLED.log(format_args!("id={id}"));
+            gate::Reply::Cancelled
+        }
+        Ok(_) => gate::Reply::NoJob,
+        Err(reply) => reply,
+    }
+}
+
+async fn configure(
+    proposer: &proposer::Proposer,
+    directory: workflow::directory::Directory,
+) -> gate::Reply {
+    let version = directory.version;
+    let command = workflow::command::Command::Configure(directory);
+    match propose(proposer, command).await {
+        Ok(workflow::command::Outcome::Applied) => {
+            event::control::CONFIGURED.log(format_args!("version={version}"));
+            gate::Reply::Configured
+        }
+        Ok(workflow::command::Outcome::Invalid(fault)) => gate::Reply::Invalid(fault),
+        Ok(_) => gate::Reply::Undecided(true),
+        Err(reply) => reply,
+    }
+}
+
+fn configuration(proposer: &proposer::Proposer) -> gate::Reply {
+    if !proposer.log.leads() {
+        return gate::Reply::Undecided(false);
+    }
+    match &proposer.shared.ledger.borrow().workflows.directory {
+        Some(directory) => gate::Reply::Configuration(directory.document.clone()),
+        None => gate::Reply::NoConfiguration,
+    }
+}
+
+async fn propose(
+    proposer: &proposer::Proposer,
+    command: workflow::command::Command,
+) -> Result<workflow::command::Outcome, gate::Reply> {
+    match proposer.propose(command::Command::Workflow(command)).await {
+        Ok(outcome::Outcome::Workflow(outcome)) => Ok(outcome),
+        Ok(_) | Err(machine::ProposeError::Unknown) => Err(gate::Reply::Undecided(true)),
+        Err(machine::ProposeError::NotLeader | machine::ProposeError::Busy) => {
+            Err(gate::Reply::Undecided(false))
+        }
+    }
+}
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -209,6 +209,7 @@
             }
             outcome::Event::Worker(key) => self.worker(ledger, *key, now),
             outcome::Event::WorkerLost(key) => self.worker_lost(*key, now),
+            outcome::Event::Workflow(_) => return,
         }
         self.settle(ledger, now);
     }
--- a/src/control/machine_state.rs
+++ b/src/control/machine_state.rs
@@ -10,13 +10,18 @@
 use crate::control::clock;
 use crate::control::lead;
 use crate::control::machine;
+use crate::core::dispatch;
 use crate::core::ids;
 use crate::core::ledger::command;
 use crate::core::ledger::outcome;
 use crate::core::ledger::state;
+use crate::core::time;
+use crate::core::workflow::book;
+use crate::net::stream;
 use crate::telemetry::event;
 use crate::wire::codec;
 use crate::wire::command as wire_command;
+use crate::wire::runner;
 use crate::wire::snapshot;
 
 /// What the parts of a control process share. Borrows are short and never last over an await.
@@ -31,6 +36,14 @@
     pub lead: cell::RefCell<Option<lead::Lead>>,
     /// Wakes the leader's loop to carry out effects.
     pub wake: tokio::sync::Notify,
+    /// The leader's decisions on workflows, while this replica leads.
+    pub dispatch: cell::RefCell<Option<dispatch::Dispatch>>,
+    /// Wakes the loop that carries these out.
+    pub dispatch_wake: tokio::sync::Notify,
+    /// The sessions of agents of workflows, by host, each with its number.
+    pub runners: cell::RefCell<BTreeMap<u32, (u64, stream::Sender<runner::Down>)>>,
+    /// How long an agent of workflows may hold its worker after a report.
+    pub lease: time::Millis,
     /// The revision of the configuration in force here.
     pub revision: watch::Sender<ids::Revision>,
     /// The role of this replica; changes with each term it sees led.
@@ -41,12 +54,21 @@
 impl Shared {
     /// The state of a process that has applied nothing.
     pub fn new() -> rc::Rc<Self> {
+        Self::with_lease(dispatch::LEASE)
+    }
+
+    /// Like [`Shared::new`], with another span for which agents may hold their workers.
+    pub fn with_lease(lease: time::Millis) -> rc::Rc<Self> {
         rc::Rc::new(Self {
             clock: clock::Clock::start(),
             ledger: cell::RefCell::default(),
             applied: cell::Cell::default(),
             lead: cell::RefCell::default(),
             wake: tokio::sync::Notify::new(),
+            dispatch: cell::RefCell::default(),
+            dispatch_wake: tokio::sync::Notify::new(),
+            runners: cell::RefCell::default(),
+            lease,
             revision: watch::Sender::new(ids::Revision(0)),
             role: watch::Sender::new(machine::Role::Follower { leader: None }),
             waiters: cell::RefCell::default(),
@@ -72,6 +94,24 @@
         Some(result)
     }
 
+    /// The time for decisions on workflows.
+    pub fn moment(&self) -> dispatch::order::Moment {
+        dispatch::order::Moment { tick: self.clock.tick(), wall: clock::wall() }
+    }
+
+    /// Calls `act` with the leader's decisions on workflows and the book, if this replica leads.
+    pub fn with_dispatch<T>(
+        &self,
+        act: impl FnOnce(&mut dispatch::Dispatch, &book::Book, dispatch::order::Moment) -> T,
+    ) -> Option<T> {
+        let now = self.moment();
+        let ledger = self.ledger.borrow();
+        let mut dispatch = self.dispatch.borrow_mut();
+        let result = act(dispatch.as_mut()?, &ledger.workflows, now);
+        self.dispatch_wake.notify_one();
+        Some(result)
+    }
+
     /// Resolves when the job has ended here, or this replica no longer leads.
     pub fn wait(&self, job: ids::JobKey) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
@@ -107,6 +147,12 @@
                     self.shared.revision.send_replace(*revision);
                 }
                 outcome::Event::Ended(job) => self.shared.ended(*job),
+                outcome::Event::Workflow(event) => {
+                    self.shared.with_dispatch(|dispatch, book, now| {
+                        dispatch.event(book, event, now);
+                    });
+                    continue;
+                }
                 _ => {}
             }
             self.shared.with_lead(|lead, ledger, now| lead.event(ledger, event, now));
@@ -162,7 +208,14 @@
             event::control::NOT_LEADING.log(format_args!(""));
             self.shared.waiters.borrow_mut().clear();
         }
+        let dispatch = lead.is_some().then(|| {
+            let book = &self.shared.ledger.borrow().workflows;
+            dispatch::Dispatch::new(book, self.shared.lease, self.shared.moment())
+        });
         *self.shared.lead.borrow_mut() = lead;
+        *self.shared.dispatch.borrow_mut() = dispatch;
+        // Sessions of agents belong to one term: they end and begin anew with the next.
+        self.shared.runners.borrow_mut().clear();
         self.shared.role.send_replace(role);
         self.shared.wake.notify_one();
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,7 +19,9 @@
 pub mod agent_session;
 pub mod calls;
 pub mod clock;
+pub mod dispatch_loop;
 pub mod entry_session;
+pub mod gate_session;
 mod gauges;
 pub mod health;
 pub mod lead;
@@ -30,6 +32,7 @@
 pub mod proposer;
 pub mod replica;
 pub mod report;
+pub mod runner_session;
 
 /// Connections at once: peers, entries and agents.
 const MAX_CONNECTIONS: usize = 8192;
@@ -60,13 +63,14 @@
     server: stream::Server,
     replica: rc::Rc<replica::Replica>,
     leader_loop: leader_loop::LeaderLoop,
+    dispatch_loop: dispatch_loop::DispatchLoop,
     http: http::Server,
 }
 
 impl Control {
     /// Opens the data folder and the port, and takes part in its group.
     pub async fn start(settings: settings::control::Settings) -> Result<Self, Error> {
-        let shared = machine_state::Shared::new();
+        let shared = machine_state::Shared::with_lease(settings.hold());
         let machine = machine_state::LedgerMachine::new(shared.clone());
         let machine = rc::Rc::new(cell::RefCell::new(machine));
         let replica = replica::Replica::start(&settings, machine).await?;
@@ -93,8 +97,9 @@
         let http = http::Server::bind(settings.http, http::Limits::default(), health)
             .await
             .map_err(|source| Error::Listen(settings.http, source.into()))?;
+        let dispatch_loop = dispatch_loop::DispatchLoop::start(proposer.clone());
         let leader_loop = leader_loop::LeaderLoop::start(proposer);
-        Ok(Self { server, replica, leader_loop, http })
+        Ok(Self { server, replica, leader_loop, dispatch_loop, http })
     }
 
     /// The address it listens on.
@@ -119,6 +124,7 @@
         use machine::Log as _;
         self.replica.hand_over().await;
         self.leader_loop.stop().await;
+        self.dispatch_loop.stop().await;
         self.server.stop().await;
         self.replica.stop().await;
         self.http.stop(HTTP_GRACE).await;
@@ -141,6 +147,8 @@
             "/peer" => self.replica.handle_peer(incoming),
             "/agent" => Box::pin(agent_session::serve(proposer, self.cell, incoming)),
             "/entry" => Box::pin(entry_session::serve(proposer, self.cell, self.key, incoming)),
+            "/runner" => Box::pin(runner_session::serve(proposer, self.cell.0, incoming)),
+            "/gate" => Box::pin(gate_session::serve(proposer, self.cell.0, incoming)),
             _ => Box::pin(future::ready(())),
         }
     }
--- /dev/null
+++ b/src/control/runner_session.rs
@@ -0,0 +1,93 @@
+//! The session of the agent beside a worker of workflows with the replica that leads.
+
+use std::net;
+
+use crate::control::machine;
+use crate::control::proposer;
+use crate::net::stream;
+use crate::telemetry::event;
+use crate::wire::codec;
+use crate::wire::runner;
+
+/// How long an agent may be silent; it reports every second.
+const SILENCE: std::time::Duration = std::time::Duration::from_secs(10);
+
+/// Serves one agent's stream until it ends or this replica no longer leads.
+pub async fn serve(proposer: proposer::Proposer, cell: u16, incoming: stream::Incoming) {
+    let peer = incoming.peer;
+    let (sender, mut receiver) = incoming.split::<runner::Up, runner::Down>();
+    let Some(runner::Up::Hello { version, cell: named, host }) = receiver.receive().await else {
+        return;
+    };
+    if version != codec::VERSION || named != cell {
+        event::control::SESSION_REFUSED
+            .log(format_args!("peer={peer} version={version} cell={named}"));
+        return;
+    }
+    let mut role = proposer.shared.role.subscribe();
+    let current = role.borrow_and_update().clone();
+    let replicas = replicas(&proposer);
+    let machine::Role::Leader(term) = current else {
+        sender.send(&runner::Down::NotLeader(leader_of(&current), replicas)).await;
+        return;
+    };
+    sender.send(&runner::Down::Welcome { term: term.0, replicas }).await;
+    let session = open(&proposer, host, &sender);
+    event::control::RUNNER_CONNECTED
+        .log(format_args!("host={} session={session}", net::Ipv4Addr::from(host)));
+    loop {
+        tokio::select! {
+            message = tokio::time::timeout(SILENCE, receiver.receive()) => match message {
+                Ok(Some(message)) => take(&proposer, host, message),
+                Ok(None) | Err(_) => break,
+            },
+            // Another term is another session, so that its orders carry another token.
+            _ = role.changed() => break,
+        }
+    }
+    close(&proposer, host, session);
+    event::control::RUNNER_LEFT
+        .log(format_args!("host={} session={session}", net::Ipv4Addr::from(host)));
+}
+
+fn take(proposer: &proposer::Proposer, host: u32, message: runner::Up) {
+    if !proposer.log.leads() {
+        return;
+    }
+    proposer.shared.with_dispatch(|dispatch, book, now| match message {
+        runner::Up::Hello { .. } => {}
+        runner::Up::Report(report) => dispatch.report(book, host, report, now),
+        runner::Up::Closed { life, task, run } => {
+            dispatch.closed(book, host, life, &task, run, now);
+        }
+    });
+}
+
+fn open(proposer: &proposer::Proposer, host: u32, sender: &stream::Sender<runner::Down>) -> u64 {
+    let mut runners = proposer.shared.runners.borrow_mut();
+    let session = runners.get(&host).map_or(1, |(session, _)| session + 1);
+    runners.insert(host, (session, sender.clone()));
+    proposer.shared.with_dispatch(|dispatch, _, now| dispatch.connected(host, now));
+    session
+}
+
+fn close(proposer: &proposer::Proposer, host: u32, session: u64) {
+    let mut runners = proposer.shared.runners.borrow_mut();
+    if runners.get(&host).is_some_and(|(current, _)| *current == session) {
+        runners.remove(&host);
+        proposer.shared.with_dispatch(|dispatch, _, _| dispatch.disconnected(host));
+    }
+}
+
+/// The addresses of all replicas.
+pub(super) fn replicas(proposer: &proposer::Proposer) -> Vec<String> {
+    proposer.log.view().peers.into_iter().map(|peer| peer.addr).collect()
+}
+
+/// The leader's address, as far as a follower knows it.
+pub(super) fn leader_of(role: &machine::Role) -> Option<String> {
+    match role {
+        machine::Role::Leader(_) => None,
+        machine::Role::Follower { leader } => leader.clone().map(|(_, addr)| addr),
+    }
+}
--- /dev/null
+++ b/src/core/dispatch/mod.rs
@@ -0,0 +1,29 @@
+//! The leader's decisions on workflows: which task runs where, and what to stop for it.
+//!
+//! [`Dispatch`] is made from the [`book::Book`] each time a replica begins to lead and is dropped
+//! when it no longer leads. It learns of workers from reports of their agents and of changes from
+//! the book's events; it answers with [`order::Effect`]s. Nothing it believes is needed for
+//! safety: the book checks every placement and end.
+//!
+//! - [`order`]: what agents report and are ordered
+//! - [`fleet`]: workers, their leases and what occupies them
+//! - [`runs`]: the runs that may be going on
+//! - [`queue`]: which steps wait, and which of them goes first
+//! - [`fit`]: where the tasks of a step fit
+//! - [`reclaim`]: what to stop so that urgent work fits
+//! - [`lead`]: the rules that tie these together
+
+pub mod fit;
+pub mod fleet;
+pub mod lead;
+pub mod order;
+pub mod queue;
+pub mod reclaim;
+pub mod runs;
+
+pub use lead::Dispatch;
+
+use crate::core::time;
+
+/// How long an agent may hold its worker after a report, unless the settings say otherwise.
+pub const LEASE: time::Millis = time::Millis::from_secs(9);
--- /dev/null
+++ b/src/core/dispatch/order.rs
@@ -0,0 +1,178 @@
+//! What agents report of their workers, and what they are ordered to do.
+
+use crate::core::time;
+use crate::core::workflow::command;
+use crate::core::workflow::model;
+use crate::macros;
+
+macros::plain! {
+    /// What a worker says of itself.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Announced {
+        /// Its present life.
+        pub life: model::Life,
+        /// Its name.
+        pub name: String,
+        /// The pool it serves.
+        pub pool: String,
+        /// Its labels.
+        pub labels: Vec<String>,
+        /// Its rack; empty if it names none.
+        pub rack: String,
+        /// What it has to give away.
+        pub capacity: Room,
+        /// Whether it is leaving.
+        pub draining: bool,
+    }
+
+    /// What an agent reports of the worker beside it.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Report {
+        /// The number of the report in this session, from 1.
+        pub sequence: u64,
+        /// The worker; none if there is none at present.
+        pub worker: Option<Announced>,
+        /// The last life that has left: nothing of it goes on.
+        pub gone: Option<model::Life>,
+        /// Whether the lists are its answer, and not older than a second.
+        pub current: bool,
+        /// What runs there.
+        pub running: Vec<Running>,
+        /// What has ended there and was not taken note of yet.
+        pub finished: Vec<Finished>,
+    }
+
+    /// A run that goes on.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Running {
+        /// The task.
+        pub task: model::TaskName,
+        /// The number of its start.
+        pub run: u32,
+        /// Its last checkpoint; empty for none.
+        pub saved: String,
+        /// How much of its work is done.
+        pub percent: u32,
+    }
+
+    /// A run that has ended.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Finished {
+        /// The number of the end in the worker's life, from 1.
+        pub number: u64,
+        /// The task.
+        pub task: model::TaskName,
+        /// The number of its start.
+        pub run: u32,
+        /// How it ended.
+        pub how: model::How,
+        /// Its last checkpoint; empty for none.
+        pub saved: String,
+    }
+
+    /// What an agent is told.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub enum Order {
+        /// The worker may be held for this long from the moment the numbered report was sent.
+        Grant {
+            /// The report.
+            sequence: u64,
+            /// The span, in milliseconds.
+            length: u64,
+        },
+        /// Start a run.
+        Start(Start),
+        /// Stop a run, or see to it that it never starts.
+        Stop {
+            /// The life of the worker that it was ordered on.
+            life: model::Life,
+            /// The task.
+            task: model::TaskName,
+            /// The number of the start.
+            run: u32,
+        },
+        /// The ends up to this number are durable: the worker may forget them.
+        Seen {
+            /// The worker's life.
+            life: model::Life,
+            /// The number.
+            number: u64,
+        },
+    }
+
+    /// A run to start.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Start {
+        /// The life of the worker that is meant.
+        pub life: model::Life,
+        /// The task.
+        pub task: model::TaskName,
+        /// The number of the start.
+        pub run: u32,
+        /// The text that the task is started with.
+        pub spec: String,
+        /// The checkpoint to go on from; empty for none.
+        pub saved: String,
+    }
+
+    /// What the leader is to carry out.
+    pub enum Effect {
+        /// Propose a command to the log.
+        Propose(command::Command),
+        /// Send an order to the agent on a host.
+        Order(u32, Order),
+    }
+}
+
+macros::small! {
+    /// Amounts of what tasks need and workers have.
+    #[derive(Default, bincode::Encode, bincode::Decode)]
+    pub struct Room {
+        /// Thousandths of a core.
+        pub cpu: u32,
+        /// Memory in MB.
+        pub memory: u32,
+        /// Accelerators.
+        pub accelerators: u32,
+    }
+
+    /// The time of an input.
+    pub struct Moment {
+        /// On the steady clock.
+        pub tick: time::Tick,
+        /// In civil time; only schedules depend on it.
+        pub wall: time::Wall,
+    }
+}
+
+impl Room {
+    /// What a task of a step occupies.
+    pub fn of(step: &model::Step) -> Self {
+        // Work that only fills is not counted against a worker's processors.
+        let cpu = if step.fills { 0 } else { step.cpu };
+        Self { cpu, memory: step.memory, accelerators: step.accelerators }
+    }
+
+    /// Whether this holds at least as much of everything.
+    pub fn holds(self, need: Room) -> bool {
+        self.cpu >= need.cpu && self.memory >= need.memory && self.accelerators >= need.accelerators
+    }
+
+    /// What is left after something is taken away, never below nothing.
+    pub fn minus(self, taken: Room) -> Room {
+        Room {
+            cpu: self.cpu.saturating_sub(taken.cpu),
+            memory: self.memory.saturating_sub(taken.memory),
+            accelerators: self.accelerators.saturating_sub(taken.accelerators),
+        }
+    }
+
+    /// The sum of both.
+    pub fn plus(self, other: Room) -> Room {
+        Room {
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/src/core/dispatch/runs.rs
@@ -0,0 +1,77 @@
+//! The runs that may be going on, as the leader sees them.
+
+use std::collections::BTreeMap;
+
+use crate::core::dispatch::order::Room;
+use crate::core::time;
+use crate::core::workflow::model;
+use crate::macros;
+
+macros::small! {
+    /// How far a run is.
+    pub enum State {
+        /// Its placement is on its way into the log.
+        Proposed,
+        /// It may start; nothing was heard of it yet.
+        Ordered,
+        /// Its worker has reported it.
+        Running,
+        /// It is to stop.
+        Stopping,
+        /// Its end is on its way into the log.
+        Ending,
+    }
+}
+
+/// A run.
+#[derive(Debug)]
+pub struct Run {
+    /// How far it is.
+    pub state: State,
+    /// Where.
+    pub life: model::Life,
+    /// What it occupies.
+    pub room: Room,
+    /// The rank of its job at placement; a lower one may preempt it.
+    pub rank: u32,
+    /// Whether it is a member of a gang, which falls with it.
+    pub gang: bool,
+    /// Whether stopping it loses no more than the work since its last checkpoint.
+    pub saves: bool,
+    /// When it was placed.
+    pub since: time::Tick,
+    /// When the last order about it was sent.
+    pub ordered: time::Tick,
+    /// When it was last heard of.
+    pub heard: time::Tick,
+    /// Its last known checkpoint.
+    pub saved: String,
+    /// How much of its work is done.
+    pub percent: u32,
+}
+
+impl Run {
+    /// Whether it occupies its worker.
+    pub fn is_held(&self) -> bool {
+        self.state != State::Ending
+    }
+}
+
+/// All runs, by task and number.
+pub type Runs = BTreeMap<model::RunKey, Run>;
+
+/// The runs of one step of one occurrence.
+pub fn of_step(runs: &Runs, task: model::TaskKey) -> impl Iterator<Item = (&model::RunKey, &Run)> {
+    let first = model::RunKey { task: model::TaskKey { index: 0, ..task }, run: 0 };
+    let last = model::RunKey { task: model::TaskKey { index: u32::MAX, ..task }, run: u32::MAX };
+    runs.range(first..=last)
+}
+
+/// The keys of the runs of one job.
+pub fn of_job(runs: &Runs, job: crate::core::ids::JobKey) -> Vec<model::RunKey> {
+    let low = model::TaskKey { job, occurrence: 0, step: 0, index: 0 };
+    let high = model::TaskKey { job, occurrence: u32::MAX, step: u32::MAX, index: u32::MAX };
+    let first = model::RunKey { task: low, run: 0 };
+    let last = model::RunKey { task: high, run: u32::MAX };
+    runs.range(first..=last).map(|(key, _)| *key).collect()
+}
--- a/src/core/ledger/command.rs
+++ b/src/core/ledger/command.rs
@@ -5,6 +5,7 @@
 use crate::core::ledger::job;
 use crate::core::time;
 use crate::core::verdict;
+use crate::core::workflow;
 use crate::macros;
 
 macros::plain! {
@@ -91,6 +92,8 @@
             /// The counts.
             counts: Vec<RefusalCount>,
         },
+        /// A change to the workflows.
+        Workflow(workflow::command::Command),
     }
 
     /// How an attempt ended.
--- a/src/core/ledger/outcome.rs
+++ b/src/core/ledger/outcome.rs
@@ -3,6 +3,7 @@
 use crate::core::ids;
 use crate::core::time;
 use crate::core::verdict;
+use crate::core::workflow;
 use crate::macros;
 
 macros::plain! {
@@ -18,6 +19,8 @@
         Worker(ids::WorkerKey, ids::Epoch),
         /// Refused; nothing changed.
         Refused(verdict::Refusal),
+        /// The answer to a command to the workflows.
+        Workflow(workflow::command::Outcome),
         /// The command no longer fits the state (an old attempt or epoch); nothing changed.
         Stale,
     }
@@ -42,6 +45,8 @@
         Worker(ids::WorkerKey),
         /// A worker's tasks are gone.
         WorkerLost(ids::WorkerKey),
+        /// Something of the workflows changed.
+        Workflow(workflow::command::Event),
     }
 
     /// What the status page shows of one service and one hour.
--- a/src/core/ledger/state.rs
+++ b/src/core/ledger/state.rs
@@ -14,6 +14,7 @@
 use crate::core::placement::feasible;
 use crate::core::time;
 use crate::core::verdict;
+use crate::core::workflow;
 
 /// How many entries' reports of refusals are remembered.
 const REPORTERS: usize = 1024;
@@ -37,6 +38,8 @@
     pub calendar: calendar::Calendar,
     /// The last report of refusals of each entry process, with the time it came.
     pub reports: BTreeMap<u64, (u64, time::Wall)>,
+    /// The workflows.
+    pub workflows: workflow::book::Book,
 }
 
 impl Ledger {
@@ -72,9 +75,22 @@
             command::Command::Refusals { entry, sequence, counts } => {
                 self.refusals(entry, sequence, &counts)
             }
+            command::Command::Workflow(command) => self.workflow(index, command, events),
         }
     }
 
+    fn workflow(
+        &mut self,
+        index: ids::LogIndex,
+        command: workflow::command::Command,
+        events: &mut Vec<outcome::Event>,
+    ) -> outcome::Outcome {
+        let mut changes = Vec::new();
+        let outcome = self.workflows.apply(index, self.now, command, &mut changes);
+        events.extend(changes.into_iter().map(outcome::Event::Workflow));
+        outcome::Outcome::Workflow(outcome)
+    }
+
     fn advance(&mut self, at: time::Wall) {
         if at <= self.now {
             return;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod account;
 pub mod consensus;
+pub mod dispatch;
 pub mod gang;
 pub mod ids;
 pub mod lease;
@@ -15,3 +16,4 @@
 pub mod shape;
 pub mod time;
 pub mod verdict;
+pub mod workflow;
--- /dev/null
+++ b/src/core/workflow/book.rs
@@ -0,0 +1,272 @@
+//! All jobs, and the rules of each command.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::core::ids;
+use crate::core::time;
+use crate::core::workflow::command;
+use crate::core::workflow::directory;
+use crate::core::workflow::job;
+use crate::core::workflow::model;
+
+/// How long an ended job is shown and its identifier known: callers resend and ask for minutes.
+pub const RETENTION: time::Millis = time::Millis::from_secs(3600);
+
+/// The replicated state of workflows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Book {
+    /// The configuration; none before the first.
+    pub directory: Option<directory::Directory>,
+    /// The jobs.
+    pub jobs: BTreeMap<ids::JobKey, job::Job>,
+    /// The jobs of each caller's identifier, by the place of the queue.
+    names: BTreeMap<String, BTreeMap<String, ids::JobKey>>,
+    /// The jobs that have not ended.
+    open: BTreeSet<ids::JobKey>,
+    /// Ended jobs, by when they ended.
+    ends: BTreeSet<(u64, ids::JobKey)>,
+}
+
+impl Book {
+    /// Applies the command of the entry at `index`, proposed at `at`.
+    pub fn apply(
+        &mut self,
+        index: ids::LogIndex,
+        at: time::Wall,
+        command: command::Command,
+        events: &mut Vec<command::Event>,
+    ) -> command::Outcome {
+        self.expire(at);
+        match command {
+            command::Command::Configure(directory) => self.configure(directory, events),
+            command::Command::Submit(submission) => self.submit(index, at, submission, events),
+            command::Command::Cancel(place, id) => self.cancel(at, &place, &id, events),
+            command::Command::Place(placements) => {
+                for placement in placements {
+                    self.place(&placement, events);
+                }
+                command::Outcome::Applied
+            }
+            command::Command::End(endings) => {
+                for ending in endings {
+                    let key = ending.key();
+                    self.end(at, ending, events);
+                    events.push(command::Event::Ended(key));
+                }
+                command::Outcome::Applied
+            }
+        }
+    }
+
+    /// The job of a caller's identifier.
+    pub fn find(&self, place: &str, id: &str) -> Option<ids::JobKey> {
+        self.names.get(id)?.get(place).copied()
+    }
+
+    /// The job whose tasks a worker knows by this identifier.
+    pub fn find_task(&self, name: &model::TaskName) -> Option<model::TaskKey> {
+        let job = *self.names.get(&name.id)?.values().next()?;
+        let &model::TaskName { occurrence, step, index, .. } = name;
+        Some(model::TaskKey { job, occurrence, step, index })
+    }
+
+    /// The jobs that have not ended.
+    pub fn open(&self) -> impl Iterator<Item = (ids::JobKey, &job::Job)> {
+        self.open.iter().map(|key| (*key, &self.jobs[key]))
+    }
+
+    /// Accepted jobs of a queue without a schedule that wait for their first task.
+    pub fn pending(&self, place: &str) -> u64 {
+        let waits =
+            |job: &&job::Job| job.submission.place == place && job.phase == job::Phase::Pending;
+        self.open().map(|(_, job)| job).filter(waits).count() as u64
+    }
+
+    /// Puts a job back as it lay in a snapshot.
+    pub fn restore(&mut self, key: ids::JobKey, job: job::Job) {
+        let submission = &job.submission;
+        let places = self.names.entry(submission.id.clone()).or_default();
+        places.insert(submission.place.clone(), key);
+        match job.is_open() {
+            true => self.open.insert(key),
+            false => self.ends.insert((job.ended, key)),
+        };
+        self.jobs.insert(key, job);
+    }
+
+    fn expire(&mut self, at: time::Wall) {
+        while let Some((ended, key)) = self.ends.first().copied() {
+            if time::Wall(ended) + RETENTION > at {
+                return;
+            }
+            self.ends.pop_first();
+            let Some(job) = self.jobs.remove(&key) else { continue };
+            if let Some(places) = self.names.get_mut(&job.submission.id) {
+                places.remove(&job.submission.place);
+                if places.is_empty() {
+                    self.names.remove(&job.submission.id);
+                }
+            }
+        }
+    }
+
+    fn configure(
+        &mut self,
+        directory: directory::Directory,
+        events: &mut Vec<command::Event>,
+    ) -> command::Outcome {
+        if let Some(fault) = directory.fault() {
+            return command::Outcome::Invalid(fault);
+        }
+        let held = self.directory.as_ref().map(|held| held.version);
+        if held.is_none_or(|held| held < directory.version) {
+            events.push(command::Event::Configured(directory.version));
+            self.directory = Some(directory);
+        }
+        command::Outcome::Applied
+    }
+
+    fn submit(
+        &mut self,
+        index: ids::LogIndex,
+        at: time::Wall,
+        submission: command::Submission,
+        events: &mut Vec<command::Event>,
+    ) -> command::Outcome {
+        if let Some(known) = self.find(&submission.place, &submission.id) {
+            return command::Outcome::Accepted(known.0);
+        }
+        let key = ids::JobKey(index.0);
+        self.restore(key, job::Job::new(submission, at.0));
+        events.push(command::Event::Submitted(key));
+        command::Outcome::Accepted(key.0)
+    }
+
+    fn cancel(
+        &mut self,
+        at: time::Wall,
+        place: &str,
+        id: &str,
+        events: &mut Vec<command::Event>,
+    ) -> command::Outcome {
+        let Some(key) = self.find(place, id) else { return command::Outcome::Unknown };
+        if self.jobs[&key].is_open() {
+            self.finish(at, key, job::Phase::Cancelled, events);
+            events.push(command::Event::Stopping(key));
+        }
+        command::Outcome::Applied
+    }
+
+    fn place(&mut self, placement: &command::Placement, events: &mut Vec<command::Event>) {
+        let run = placement.key();
+        let placed = self.jobs.get_mut(&run.task.job).filter(|job| job.is_open());
+        let placed = placed.is_some_and(|job| {
+            let Some(task) = job.task_mut(run.task) else { return false };
+            if task.place != job::Place::Waiting || placement.run <= task.run {
+                return false;
+            }
+            task.run = placement.run;
+            task.place = job::Place::At(placement.life);
+            job.phase = job::Phase::Running;
+            true
+        });
+        events.push(match placed {
+            true => command::Event::Placed(run, placement.life),
+            false => command::Event::Unplaced(run),
+        });
+    }
+
+    fn end(&mut self, at: time::Wall, ending: command::Ending, events: &mut Vec<command::Event>) {
+        let run = ending.key();
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
+        let current = |task: &job::Task| task.run == run.run && task.is_placed();
+        if !job.task(run.task).is_some_and(current) {
+            return;
+        }
+        match ending.how {
+            model::How::Done => self.done(at, run, events),
+            how => self.interrupted(at, run, how, ending.saved, events),
+        }
+    }
+
+    /// A run has done its task's work; a gang's members are done together.
+    fn done(&mut self, at: time::Wall, run: model::RunKey, events: &mut Vec<command::Event>) {
+        let key = run.task.job;
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let gang = job.step(run.task.step).gang;
+        let Some(occurrence) = job.occurrences.get_mut(&run.task.occurrence) else { return };
+        let tasks = &mut occurrence.steps[run.task.step as usize];
+        for (index, task) in tasks.iter_mut().enumerate() {
+            if gang || index == run.task.index as usize {
+                task.place = job::Place::Done;
+            }
+        }
+        let mut tasks = occurrence.steps.iter().flatten();
+        if !tasks.all(|task| task.place == job::Place::Done) {
+            return;
+        }
+        job.occurrences.remove(&run.task.occurrence);
+        job.finished += 1;
+        if job.is_open() && job.finished == job.submission.workflow.occurrences() {
+            self.finish(at, key, job::Phase::Completed, events);
+        }
+    }
+
+    /// A run has ended before its work was done.
+    fn interrupted(
+        &mut self,
+        at: time::Wall,
+        run: model::RunKey,
+        how: model::How,
+        saved: String,
+        events: &mut Vec<command::Event>,
+    ) {
+        let key = run.task.job;
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let step = job.step(run.task.step);
+        let (gang, lasting) = (step.gang, step.lasting);
+        let attempts = job.submission.attempts.max(1);
+        let Some(occurrence) = job.occurrences.get_mut(&run.task.occurrence) else { return };
+        let tasks = &mut occurrence.steps[run.task.step as usize];
+        let index = run.task.index as usize;
+        tasks[index].place = job::Place::Waiting;
+        if !saved.is_empty() {
+            for (other, task) in tasks.iter_mut().enumerate() {
+                // The checkpoint of one member holds for the whole gang.
+                if gang || other == index {
+                    task.saved.clone_from(&saved);
+                }
+            }
+        }
+        if how != model::How::Failed {
+            return;
+        }
+        let counted = &mut tasks[if gang { 0 } else { index }];
+        if counted.failed < run.run {
+            // A gang fails once a run, however many of its members report it.
+            counted.failed = run.run;
+            counted.failures += 1;
+        }
+        let spent = counted.failures >= attempts && !lasting;
+        if spent && job.is_open() {
+            self.finish(at, key, job::Phase::Failed, events);
+            events.push(command::Event::Stopping(key));
+        }
+    }
+
+    fn finish(
+        &mut self,
+        at: time::Wall,
+        key: ids::JobKey,
+        phase: job::Phase,
+        events: &mut Vec<command::Event>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        job.phase = phase;
+        job.ended = at.0;
+        self.open.remove(&key);
+        self.ends.insert((at.0, key));
+        events.push(command::Event::Finished(key));
+    }
+}
--- /dev/null
+++ b/src/core/workflow/command.rs
@@ -0,0 +1,141 @@
+//! Commands to the book, what applying them gave, and what changed.
+
+use crate::core::ids;
+use crate::core::workflow::directory;
+use crate::core::workflow::model;
+use crate::macros;
+
+macros::plain! {
+    /// A change to the book.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub enum Command {
+        /// Replace the configuration, if this one's version is higher.
+        Configure(directory::Directory),
+        /// Accept a job.
+        Submit(Submission),
+        /// Cancel a job: the queue's place and the caller's identifier.
+        Cancel(String, String),
+        /// Let tasks run.
+        Place(Vec<Placement>),
+        /// Runs have ended.
+        End(Vec<Ending>),
+    }
+
+    /// A job to be accepted.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Submission {
+        /// The place of its queue.
+        pub place: String,
+        /// The caller's identifier.
+        pub id: String,
+        /// The client account; empty where the queue is open.
+        pub account: String,
+        /// The pool that runs it.
+        pub pool: String,
+        /// The queue's rank at acceptance.
+        pub priority: u32,
+        /// How often a task may fail.
+        pub attempts: u32,
+        /// What is to be done.
+        pub workflow: model::Workflow,
+    }
+
+    /// One run of a task on one worker.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Placement {
+        /// The job.
+        pub job: u64,
+        /// The occurrence.
+        pub occurrence: u32,
+        /// The step.
+        pub step: u32,
+        /// The task.
+        pub index: u32,
+        /// The number of the start.
+        pub run: u32,
+        /// Where.
+        pub life: model::Life,
+    }
+
+    /// The end of a run.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub struct Ending {
+        /// The job.
+        pub job: u64,
+        /// The occurrence.
+        pub occurrence: u32,
+        /// The step.
+        pub step: u32,
+        /// The task.
+        pub index: u32,
+        /// The number of the start.
+        pub run: u32,
+        /// How it ended.
+        pub how: model::How,
+        /// The last checkpoint; empty for none.
+        pub saved: String,
+    }
+
+    /// The answer to whoever proposed a command.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub enum Outcome {
+        /// Done, now or earlier.
+        Applied,
+        /// The job is accepted, now or earlier.
+        Accepted(u64),
+        /// There is no such job.
+        Unknown,
+        /// The configuration is invalid.
+        Invalid(String),
+    }
+
+    /// Something that changed, for the leader.
+    pub enum Event {
+        /// The configuration is of this version.
+        Configured(u64),
+        /// A job was accepted.
+        Submitted(ids::JobKey),
+        /// A job is to stop: it was cancelled or has failed.
+        Stopping(ids::JobKey),
+        /// A run may start.
+        Placed(model::RunKey, model::Life),
+        /// A run may not start: its job or task has moved on.
+        Unplaced(model::RunKey),
+        /// The book has taken note of the end of a run, or knew of it.
+        Ended(model::RunKey),
+        /// A job has ended.
+        Finished(ids::JobKey),
+    }
+}
+
+impl Placement {
+    /// The run that is placed.
+    pub fn key(&self) -> model::RunKey {
+        let task = model::TaskKey {
+            job: ids::JobKey(self.job),
+            occurrence: self.occurrence,
+            step: self.step,
+            index: self.index,
+        };
+        model::RunKey { task, run: self.run }
+    }
+}
+
+impl Ending {
+    /// The end of a run.
+    pub fn new(key: model::RunKey, how: model::How, saved: String) -> Self {
+        let model::TaskKey { job, occurrence, step, index } = key.task;
+        Self { job: job.0, occurrence, step, index, run: key.run, how, saved }
+    }
+
+    /// The run that ended.
+    pub fn key(&self) -> model::RunKey {
+        let task = model::TaskKey {
+            job: ids::JobKey(self.job),
+            occurrence: self.occurrence,
+            step: self.step,
+            index: self.index,
+        };
+        model::RunKey { task, run: self.run }
+    }
+}
--- /dev/null
+++ b/src/gate/mod.rs
@@ -0,0 +1,222 @@
+//! A gate's link to the leading control replica: calls on workflows, each with a patience.
+//!
+//! Entries and whoever serves operators hold one. A call is sent again, under the same identifiers,
+//! until it is decided or its patience is over: every call may be repeated, since the book keeps
+//! one job a caller's identifier and one configuration a version.
+
+use std::cell;
+use std::collections::BTreeMap;
+use std::net;
+use std::rc;
+use std::time;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::net::leader;
+use crate::net::stream;
+use crate::telemetry::event;
+use crate::wire::codec;
+use crate::wire::gate as wire;
+
+/// How often an idle session is checked.
+const PING: time::Duration = time::Duration::from_millis(1000);
+
+/// How long the leader may be silent after it was asked something.
+const SILENCE: time::Duration = time::Duration::from_millis(1500);
+
+/// The first and the longest pause between two searches for a leader.
+const SEEK_PAUSE: (time::Duration, time::Duration) =
+    (time::Duration::from_millis(30), time::Duration::from_millis(300));
+
+/// The pause before a call that could not be decided is sent again.
+const RESEND_PAUSE: time::Duration = time::Duration::from_millis(40);
+
+/// A call that was not decided in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lost {
+    /// Whether it may still take effect, or have done so.
+    pub sent: bool,
+}
+
+/// A call on its way to the session.
+struct Request {
+    body: wire::Call,
+    reply: oneshot::Sender<wire::Reply>,
+}
+
+type Requests = mpsc::Sender<Request>;
+
+/// The link. One task keeps it up; [`Link::stop`] joins that task.
+pub struct Link {
+    finder: leader::Finder,
+    cell: u16,
+    /// Where calls go while there is a session.
+    current: watch::Sender<Option<Requests>>,
+    stop: watch::Sender<bool>,
+    task: cell::RefCell<Option<actix_rt::task::JoinHandle<()>>>,
+}
+
+impl Link {
+    /// Starts the link.
+    pub fn start(seeds: Vec<net::SocketAddr>, cell: u16) -> rc::Rc<Self> {
+        let link = rc::Rc::new(Self {
+            finder: leader::Finder::new(seeds),
+            cell,
+            current: watch::Sender::new(None),
+            stop: watch::Sender::new(false),
+            task: cell::RefCell::default(),
+        });
+        link.task.replace(Some(actix_rt::spawn(keep(link.clone()))));
+        link
+    }
+
+    /// Exchanges the addresses at which to look for replicas first.
+    pub fn set_seeds(&self, seeds: Vec<net::SocketAddr>) {
+        self.finder.set_seeds(seeds);
+    }
+
+    /// Ends the session and joins the task.
+    pub async fn stop(&self) {
+        self.stop.send_replace(true);
+        let task = self.task.take();
+        if let Some(task) = task {
+            let _ = task.await;
+        }
+    }
+
+    /// Whether there is a session with a leader.
+    pub fn is_up(&self) -> bool {
+        self.current.borrow().is_some()
+    }
+
+    /// Calls the leader, for `patience` in all.
+    pub async fn call(
+        &self,
+        body: wire::Call,
+        patience: time::Duration,
+    ) -> Result<wire::Reply, Lost> {
+        let deadline = tokio::time::Instant::now() + patience;
+        let mut lost = Lost { sent: false };
+        loop {
+            let tried = tokio::time::timeout_at(deadline, self.exchange(body.clone(), &mut lost));
+            match tried.await {
+                Ok(Some(wire::Reply::Undecided(false))) => {}
+                Ok(Some(wire::Reply::Undecided(true))) => lost.sent = true,
+                Ok(Some(reply)) => return Ok(reply),
+                Ok(None) => {}
+                Err(_) => return Err(lost),
+            }
+            if tokio::time::timeout_at(deadline, tokio::time::sleep(RESEND_PAUSE)).await.is_err() {
+                return Err(lost);
+            }
+        }
+    }
+
+    /// Sends a call once there is a session. None if the session ends before the reply.
+    async fn exchange(&self, body: wire::Call, lost: &mut Lost) -> Option<wire::Reply> {
+        let requests = {
+            let mut current = self.current.subscribe();
+            let found = current.wait_for(Option::is_some).await.ok()?;
+            found.clone()?
+        };
+        let (reply, answered) = oneshot::channel();
+        let before = *lost;
+        lost.sent = true;
+        if requests.send(Request { body, reply }).await.is_err() {
+            *lost = before;
+            return None;
+        }
+        let reply = answered.await.ok()?;
+        if reply == wire::Reply::Undecided(false) {
+            *lost = before;
+        }
+        Some(reply)
+    }
+}
+
+/// Finds the leader and serves the session, again and again, until the link stops.
+async fn keep(link: rc::Rc<Link>) {
+    let mut pause = SEEK_PAUSE.0;
+    let mut stop = link.stop.subscribe();
+    loop {
+        let led = tokio::select! {
+            led = lead(&link) => led,
+            _ = stop.wait_for(|stop| *stop) => false,
+        };
+        // A dropped session has to be forgotten here: its future may not have come to its end.
+        link.current.send_replace(None);
+        if *link.stop.borrow() {
+            return;
+        }
+        pause = if led { SEEK_PAUSE.0 } else { SEEK_PAUSE.1.min(pause * 2) };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+/// Finds the leader and serves its session until that ends. False if none was found.
+async fn lead(link: &Link) -> bool {
+    let hello = wire::Up::Hello { version: codec::VERSION, cell: link.cell };
+    let Some(found) = link.finder.find::<wire::Up, wire::Down>("/gate", &hello).await else {
+        return false;
+    };
+    event::entry::LEADER.log(format_args!("addr={}", found.addr));
+    let addr = found.addr;
+    let (requests, incoming) = mpsc::channel(64);
+    link.current.send_replace(Some(requests));
+    serve(found, incoming).await;
+    link.current.send_replace(None);
+    event::entry::LEADER_LOST.log(format_args!("addr={addr}"));
+    true
+}
+
+/// Carries calls and replies until either side ends or the leader falls silent.
+async fn serve(
+    mut found: leader::Found<wire::Up, wire::Down>,
+    mut incoming: mpsc::Receiver<Request>,
+) {
+    let mut waiting: BTreeMap<u64, oneshot::Sender<wire::Reply>> = BTreeMap::new();
+    let mut next = 0;
+    // When the first message without any answer was sent.
+    let mut asked: Option<tokio::time::Instant> = None;
+    loop {
+        let now = tokio::time::Instant::now();
+        let due = asked.map_or(now + PING, |asked| asked + SILENCE);
+        tokio::select! {
+            request = incoming.recv() => {
+                let Some(request) = request else { return };
+                next += 1;
+                waiting.insert(next, request.reply);
+                if !send(&found.sender, &wire::Up::Call { id: next, body: request.body }) {
+                    return;
+                }
+                asked = asked.or(Some(now));
+            }
+            message = found.receiver.receive() => {
+                let Some(message) = message else { return };
+                asked = None;
+                if let wire::Down::Reply { id, body } = message
+                    && let Some(reply) = waiting.remove(&id)
+                {
+                    // A caller that has given up needs no reply.
+                    let _ = reply.send(body);
+                }
+            }
+            () = tokio::time::sleep_until(due) => {
+                if asked.is_some() || !send(&found.sender, &wire::Up::Ping) {
+                    event::entry::LEADER_SILENT.log(format_args!("addr={}", found.addr));
+                    return;
+                }
+                asked = Some(now);
+            }
+        }
+    }
+}
+
+fn send(sender: &stream::Sender<wire::Up>, message: &wire::Up) -> bool {
+    sender.try_send(message)
+}
--- /dev/null
+++ b/src/net/leader.rs
@@ -0,0 +1,156 @@
+//! Finding the leading control replica and opening a session with it.
+//!
+//! Any replica that answers names the others, so that a few seeds are enough to begin with.
+
+use std::cell;
+use std::net;
+use std::time;
+
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
+
+use crate::net::stream;
+
+/// How long a replica may take to say whether it leads.
+const GREETING_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
+
+/// The most addresses that are remembered besides the seeds.
+const MAX_LEARNT: usize = 16;
+
+/// What a replica's first message says.
+pub enum Greeting {
+    /// It leads; these are all replicas.
+    Leads(Vec<String>),
+    /// It does not; the leader, where known, and all replicas.
+    Follows(Option<String>, Vec<String>),
+    /// It says something else.
+    Other,
+}
+
+/// The messages of a session with a leader.
+pub trait Greet {
+    /// What the first message of a replica says.
+    fn greeting(&self) -> Greeting;
+}
+
+/// An open session with a replica that leads.
+pub struct Found<Up, Down> {
+    /// Its address.
+    pub addr: net::SocketAddr,
+    /// The first message.
+    pub greeting: Down,
+    /// The sending half.
+    pub sender: stream::Sender<Up>,
+    /// The receiving half.
+    pub receiver: stream::Receiver<Down>,
+    /// The connection; dropping it closes it.
+    pub connection: stream::Connection,
+}
+
+/// Where to look for the leader.
+pub struct Finder {
+    seeds: cell::RefCell<Vec<net::SocketAddr>>,
+    learnt: cell::RefCell<Vec<net::SocketAddr>>,
+}
+
+enum Dialled<Up, Down> {
+    Leads(Box<Found<Up, Down>>),
+    Hint(Option<String>),
+    Failed,
+}
+
+impl Finder {
+    /// Starts from the seeds.
+    pub fn new(seeds: Vec<net::SocketAddr>) -> Self {
+        Self { seeds: cell::RefCell::new(seeds), learnt: cell::RefCell::default() }
+    }
+
+    /// Exchanges the seeds; what was learnt is kept.
+    pub fn set_seeds(&self, seeds: Vec<net::SocketAddr>) {
+        self.seeds.replace(seeds);
+    }
+
+    /// The addresses of all replicas known.
+    pub fn known(&self) -> Vec<net::SocketAddr> {
+        let mut known = self.learnt.borrow().clone();
+        for seed in self.seeds.borrow().iter() {
+            if !known.contains(seed) {
+                known.push(*seed);
+            }
+        }
+        known
+    }
+
+    fn learn(&self, replicas: &[String]) {
+        let addrs = replicas.iter().filter_map(|addr| addr.parse().ok());
+        let fresh: Vec<_> = addrs.take(MAX_LEARNT).collect();
+        if !fresh.is_empty() {
+            self.learnt.replace(fresh);
+        }
+    }
+
+    /// Dials all known replicas at once, and those that they name as leader, and returns the first
+    /// that says it leads. None if no replica does.
+    pub async fn find<Up, Down>(&self, path: &str, hello: &Up) -> Option<Found<Up, Down>>
+    where
+        Up: bincode::Encode,
+        Down: bincode::Decode<()> + Greet,
+    {
+        let mut tried = self.known();
+        let mut dials: FuturesUnordered<_> =
+            tried.iter().map(|addr| self.dial(*addr, path, hello)).collect();
+        while let Some(dialled) = dials.next().await {
+            match dialled {
+                Dialled::Leads(found) => return Some(*found),
+                Dialled::Hint(Some(leader)) => {
+                    let Ok(addr) = leader.parse() else { continue };
+                    if !tried.contains(&addr) {
+                        tried.push(addr);
+                        dials.push(self.dial(addr, path, hello));
+                    }
+                }
+                Dialled::Hint(None) | Dialled::Failed => {}
+            }
+        }
+        None
+    }
+
+    async fn dial<Up, Down>(
+        &self,
+        addr: net::SocketAddr,
+        path: &str,
+        hello: &Up,
+    ) -> Dialled<Up, Down>
+    where
+        Up: bincode::Encode,
+        Down: bincode::Decode<()> + Greet,
+    {
+        let greeted = greet::<Up, Down>(addr, path, hello);
+        let greeted = tokio::time::timeout(GREETING_TIMEOUT, greeted).await;
+        let Ok(Some(found)) = greeted else { return Dialled::Failed };
+        match found.greeting.greeting() {
+            Greeting::Leads(replicas) => {
+                self.learn(&replicas);
+                Dialled::Leads(Box::new(found))
+            }
+            Greeting::Follows(leader, replicas) => {
+                self.learn(&replicas);
+                Dialled::Hint(leader)
+            }
+            Greeting::Other => Dialled::Failed,
+        }
+    }
+}
+
+async fn greet<Up, Down>(addr: net::SocketAddr, path: &str, hello: &Up) -> Option<Found<Up, Down>>
+where
+    Up: bincode::Encode,
+    Down: bincode::Decode<()>,
+{
+    let (sender, mut receiver, connection) = stream::connect(addr, path).await.ok()?;
+    if !sender.send(hello).await {
+        return None;
+    }
+    let greeting = receiver.receive().await?;
+    Some(Found { addr, greeting, sender, receiver, connection })
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Streams of messages between our processes over h2, and the HTTP/1.1 server of each program.
 
 pub mod http;
+pub mod leader;
 pub mod stall;
 pub mod stream;
--- a/src/ops/daemon.rs
+++ b/src/ops/daemon.rs
@@ -3,6 +3,7 @@
 use std::error;
 use std::path;
 use std::process;
+use std::time;
 
 use tokio::signal::unix;
 
@@ -34,6 +35,25 @@
     }
 }
 
+/// How often settings are looked at without a signal, which may be lost.
+const RELOAD_PERIOD: time::Duration = time::Duration::from_secs(3);
+
+/// Calls `reload` after each SIGHUP, and now and then without one, until dropped. The signal is
+/// held from the call on, so that it never ends the process.
+pub fn reload_signal(mut reload: impl FnMut()) -> impl Future<Output = std::io::Result<()>> {
+    let signal = unix::signal(unix::SignalKind::hangup());
+    async move {
+        let mut signal = signal?;
+        loop {
+            tokio::select! {
+                _ = signal.recv() => {}
+                () = tokio::time::sleep(RELOAD_PERIOD) => {}
+            }
+            reload();
+        }
+    }
+}
+
 /// Resolves when the process is asked to stop, by SIGTERM or SIGINT. The signals are held from
 /// the call on, not from the first poll: a daemon calls this before it starts.
 pub fn stop_signal() -> impl Future<Output = std::io::Result<()>> {
--- a/src/ops/local.rs
+++ b/src/ops/local.rs
@@ -137,6 +137,7 @@
         listen: peer.addr,
         advertise: None,
         http: loopback(),
+        hold_ms: None,
         peers: peers.to_vec(),
         telemetry: Default::default(),
     }
--- /dev/null
+++ b/src/runner/mod.rs
@@ -0,0 +1,17 @@
+//! The agent beside a worker of workflows.
+//!
+//! It holds its worker under a lease from the leading control replica, carries out that replica's
+//! orders and reports what the worker lists. It keeps nothing on disk: after a restart it adopts
+//! what the worker runs, and the leader orders again what is missing.
+//!
+//! - [`backend`]: the worker as the agent sees it, implemented by whoever speaks its protocol
+//! - [`hold`]: the lease and the worker's clock
+//! - [`launch`]: starting and stopping runs, to a certain end
+//! - [`agent`]: the loop that ties these to the session with the leader
+
+pub mod agent;
+pub mod backend;
+pub mod hold;
+pub mod launch;
+
+pub use agent::Runner;
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -4,6 +4,8 @@
 use std::net;
 use std::path;
 
+use crate::core::dispatch;
+use crate::core::time;
 use crate::settings;
 use crate::settings::check;
 use crate::settings::telemetry;
@@ -11,8 +13,8 @@
 /// The most founding members of a group.
 const MAX_PEERS: usize = 7;
 
-/// The highest number of a replica.
-const MAX_REPLICA: u64 = 65_535;
+/// The highest number of a replica; an IPv4 address is one.
+const MAX_REPLICA: u64 = u32::MAX as u64;
 
 /// Settings of `hemlockcleat-control`.
 #[derive(Clone, Debug, serde::Deserialize)]
@@ -34,6 +36,9 @@
     pub advertise: Option<net::SocketAddr>,
     /// The address for metrics and health.
     pub http: net::SocketAddr,
+    /// How long the agent of a worker of workflows may hold it after a report, in milliseconds.
+    #[serde(default)]
+    pub hold_ms: Option<u64>,
     /// The founding members of the group.
     pub peers: Vec<Peer>,
     /// Logs and traces.
@@ -64,6 +69,11 @@
 }
 
 impl Settings {
+    /// How long the agent of a worker of workflows may hold it after a report.
+    pub fn hold(&self) -> time::Millis {
+        self.hold_ms.map_or(dispatch::LEASE, time::Millis)
+    }
+
     fn check_peers(&self) -> Result<(), settings::Error> {
         if self.peers.len() > MAX_PEERS {
             let detail = format!("must hold at most {MAX_PEERS} members");
--- a/src/telemetry/event/agent.rs
+++ b/src/telemetry/event/agent.rs
@@ -16,6 +16,12 @@
     CUT_SHORT,
     SWEEP_FAILED,
     PREPARE_REFUSED,
+    WORKER_SEEN,
+    WORKER_LEFT,
+    WORKER_SILENT,
+    TASK_START,
+    TASK_STOP,
+    TASK_REFUSED,
 ];
 
 /// A session with the leading control replica stands.
@@ -42,3 +48,15 @@
 pub const SWEEP_FAILED: Event = Event::new(510, log::Level::Warn, "unknown tasks not cleared");
 /// A preparation was refused; control looks for another place.
 pub const PREPARE_REFUSED: Event = Event::new(511, log::Level::Info, "preparation refused");
+/// A life of the worker beside this agent has announced itself.
+pub const WORKER_SEEN: Event = Event::new(512, log::Level::Info, "worker seen");
+/// The worker beside this agent has left for good.
+pub const WORKER_LEFT: Event = Event::new(513, log::Level::Info, "worker left");
+/// The worker beside this agent does not answer as the life that it announced.
+pub const WORKER_SILENT: Event = Event::new(514, log::Level::Warn, "worker silent");
+/// A run of a task is ordered to start.
+pub const TASK_START: Event = Event::new(515, log::Level::Info, "task starting");
+/// A run of a task is ordered to stop.
+pub const TASK_STOP: Event = Event::new(516, log::Level::Info, "task stopping");
+/// A run of a task was refused by the worker, or its start not confirmed.
+pub const TASK_REFUSED: Event = Event::new(517, log::Level::Warn, "task refused");
--- a/src/telemetry/event/control.rs
+++ b/src/telemetry/event/control.rs
@@ -13,6 +13,15 @@
     REPLICAS_CHANGING,
     TICKET_ACCEPTED,
     TICKET_REFUSED,
+    RUNNER_CONNECTED,
+    RUNNER_LEFT,
+    JOB_ACCEPTED,
+    JOB_CANCELLED,
+    CONFIGURED,
+    TASK_PLACED,
+    RUN_ENDED,
+    PROPOSAL_LOST,
+    ORDER_DROPPED,
 ];
 
 /// A committed entry can't be decoded; it was written by another version.
@@ -33,3 +42,21 @@
 pub const TICKET_ACCEPTED: Event = Event::new(207, log::Level::Info, "ticket accepted");
 /// A ticket was refused.
 pub const TICKET_REFUSED: Event = Event::new(208, log::Level::Warn, "ticket refused");
+/// The agent beside a worker of workflows has opened a session.
+pub const RUNNER_CONNECTED: Event = Event::new(209, log::Level::Info, "agent connected");
+/// A session of such an agent has ended.
+pub const RUNNER_LEFT: Event = Event::new(210, log::Level::Info, "agent's session ended");
+/// A workflow is accepted and durable.
+pub const JOB_ACCEPTED: Event = Event::new(211, log::Level::Info, "job accepted");
+/// A workflow is cancelled, or had ended before.
+pub const JOB_CANCELLED: Event = Event::new(212, log::Level::Info, "job cancelled");
+/// A configuration of workflows is durable, or overtaken by a higher version.
+pub const CONFIGURED: Event = Event::new(213, log::Level::Info, "configuration accepted");
+/// A place for a task of a workflow is proposed.
+pub const TASK_PLACED: Event = Event::new(214, log::Level::Info, "task placed");
+/// The end of a run of a task is proposed.
+pub const RUN_ENDED: Event = Event::new(215, log::Level::Info, "run ended");
+/// Leadership was lost while a decision was on its way into the log.
+pub const PROPOSAL_LOST: Event = Event::new(216, log::Level::Warn, "proposal lost");
+/// An agent does not read its orders fast enough.
+pub const ORDER_DROPPED: Event = Event::new(217, log::Level::Warn, "order dropped");
--- a/src/telemetry/event/general.rs
+++ b/src/telemetry/event/general.rs
@@ -3,7 +3,8 @@
 use crate::telemetry::event::Event;
 
 /// Every event of this range.
-pub const ALL: &[Event] = &[STARTED, STOPPING, STOPPED, HOP, CONNECTION, REFUSED_SETTINGS, FAILED];
+pub const ALL: &[Event] =
+    &[STARTED, STOPPING, STOPPED, HOP, CONNECTION, REFUSED_SETTINGS, FAILED, RELOADED];
 
 /// A program has checked its settings and opened its ports.
 pub const STARTED: Event = Event::new(100, log::Level::Info, "started");
@@ -19,3 +20,5 @@
 pub const REFUSED_SETTINGS: Event = Event::new(105, log::Level::Error, "settings refused");
 /// The program can't go on and ends.
 pub const FAILED: Event = Event::new(106, log::Level::Error, "failed");
+/// Changed settings are in force without a restart.
+pub const RELOADED: Event = Event::new(107, log::Level::Info, "settings reloaded");
--- a/src/wire/command.rs
+++ b/src/wire/command.rs
@@ -5,6 +5,7 @@
 use crate::core::ledger::job;
 use crate::core::ledger::outcome;
 use crate::core::time;
+use crate::core::workflow;
 use crate::macros;
 use crate::wire::codec;
 use crate::wire::common;
@@ -46,6 +47,8 @@
         Refuse(u64, common::Refusal),
         /// An entry's report: entry, sequence, (service, hour, count).
         Refusals(u64, u64, Vec<(String, u64, u64)>),
+        /// A change to the workflows.
+        Workflow(workflow::command::Command),
     }
 
     /// A [`command::AttemptResult`].
@@ -78,6 +81,8 @@
         Refused(common::Refusal),
         /// Stale.
         Stale,
+        /// The answer to a command to the workflows.
+        Workflow(workflow::command::Outcome),
     }
 }
 
@@ -122,6 +127,7 @@
                 let counts = counts.into_iter().map(|c| (c.service, c.hour.0, c.count)).collect();
                 Self::Refusals(entry, sequence, counts)
             }
+            command::Command::Workflow(command) => Self::Workflow(command),
         }
     }
 }
@@ -158,6 +164,7 @@
             Command::Refusals(entry, sequence, counts) => {
                 Self::Refusals { entry, sequence, counts: counts.into_iter().map(count).collect() }
             }
+            Command::Workflow(command) => Self::Workflow(command),
         })
     }
 }
@@ -199,6 +206,7 @@
             outcome::Outcome::Worker(worker, epoch) => Self::Worker(worker.0, epoch.0),
             outcome::Outcome::Refused(refusal) => Self::Refused(refusal.into()),
             outcome::Outcome::Stale => Self::Stale,
+            outcome::Outcome::Workflow(outcome) => Self::Workflow(outcome),
         }
     }
 }
@@ -216,6 +224,7 @@
             }
             Outcome::Refused(refusal) => Self::Refused(refusal.try_into()?),
             Outcome::Stale => Self::Stale,
+            Outcome::Workflow(outcome) => Self::Workflow(outcome),
         })
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,5 +9,7 @@
 pub mod common;
 pub mod disk;
 pub mod entry;
+pub mod gate;
 pub mod peer;
+pub mod runner;
 pub mod snapshot;
--- /dev/null
+++ b/src/wire/runner.rs
@@ -0,0 +1,61 @@
+//! Messages between the agent beside a worker of workflows and a control replica.
+
+use crate::core::dispatch::order;
+use crate::core::workflow::model;
+use crate::macros;
+use crate::net::leader;
+
+macros::plain! {
+    /// From an agent to control.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub enum Up {
+        /// The first message.
+        Hello {
+            /// [`crate::wire::codec::VERSION`].
+            version: u16,
+            /// The cell.
+            cell: u16,
+            /// The host the agent runs on.
+            host: u32,
+        },
+        /// How the worker stands; answered by a grant while it is in order.
+        Report(order::Report),
+        /// The run does not go on and never will.
+        Closed {
+            /// The worker's life.
+            life: model::Life,
+            /// The task.
+            task: model::TaskName,
+            /// The number of the start.
+            run: u32,
+        },
+    }
+
+    /// From control to an agent.
+    #[derive(bincode::Encode, bincode::Decode)]
+    pub enum Down {
+        /// This replica leads; orders carry its term as fencing token.
+        Welcome {
+            /// The term.
+            term: u64,
+            /// The addresses of all replicas.
+            replicas: Vec<String>,
+        },
+        /// This replica does not lead; the leader's address, where known, and all replicas'.
+        NotLeader(Option<String>, Vec<String>),
+        /// What the agent is to do.
+        Order(order::Order),
+    }
+}
+
+impl leader::Greet for Down {
+    fn greeting(&self) -> leader::Greeting {
+        match self {
+            Down::Welcome { replicas, .. } => leader::Greeting::Leads(replicas.clone()),
+            Down::NotLeader(leader, replicas) => {
+                leader::Greeting::Follows(leader.clone(), replicas.clone())
+            }
+            Down::Order(_) => leader::Greeting::Other,
+        }
+    }
+}
--- a/src/wire/snapshot.rs
+++ b/src/wire/snapshot.rs
@@ -9,6 +9,7 @@
 use crate::core::ledger::state;
 use crate::core::ledger::table;
 use crate::core::time;
+use crate::core::workflow;
 use crate::macros;
 use crate::wire::codec;
 use crate::wire::common;
@@ -39,6 +40,10 @@
         pub hours: Vec<Hour>,
         /// Reports of refusals: entry, sequence, time.
         pub reports: Vec<(u64, u64, u64)>,
+        /// The configuration of workflows.
+        pub directory: Option<workflow::directory::Directory>,
+        /// Workflows.
+        pub workflows: Vec<(u64, workflow::job::Job)>,
     }
 
     /// A [`book::Record`].
@@ -131,6 +136,7 @@
 impl From<&state::Ledger> for Ledger {
     fn from(ledger: &state::Ledger) -> Self {
         let jobs = ledger.table.jobs.iter();
+        let workflows = ledger.workflows.jobs.iter();
         Self {
             now: ledger.now.0,
             config: ledger.config.clone().into(),
@@ -143,6 +149,8 @@
             services: ledger.calendar.created.iter().map(|(s, at)| (s.clone(), at.0)).collect(),
             hours: ledger.calendar.hours.iter().map(hour).collect(),
             reports: ledger.reports.iter().map(|(key, (n, at))| (*key, *n, at.0)).collect(),
+            directory: ledger.workflows.directory.clone(),
+            workflows: workflows.map(|(key, job)| (key.0, job.clone())).collect(),
         }
     }
 }
@@ -291,6 +299,10 @@
             let key = ids::JobKey(job.key);
             ledger.table.restore(key, job.try_into()?);
         }
+        ledger.workflows.directory = wire.directory;
+        for (key, job) in wire.workflows {
+            ledger.workflows.restore(ids::JobKey(key), job);
+        }
         Ok(ledger)
     }
 }
