Let a group of control replicas repair itself

Cause: only a ticket could admit a new store.

Change: with 'voters' in the settings, the leader admits a new store at a member's address, and a candidate in the place of a member that was silent for 2.5 s. A replica that no leader counts in asks at seeds and members.

Ruled out: shrinking the group when a member is silent, which a cut of two hosts could turn into two groups' worth of trust in one.

--- a/src/control/leader_loop.rs
+++ b/src/control/leader_loop.rs
@@ -12,6 +12,7 @@
 use crate::control::lead;
 use crate::control::machine;
 use crate::control::proposer;
+use crate::core::consensus::repair;
 use crate::core::ids;
 use crate::core::ledger::command;
 use crate::core::ledger::outcome;
@@ -20,6 +21,9 @@
 /// How often the leader looks at leases, timeouts and the queue.
 const TICK: time::Duration = time::Duration::from_millis(50);
 
+/// The pause between two steps of a change of members: a learner has to catch up in between.
+const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(150);
+
 /// How long the log may rest before the leader logs the time.
 const CLOCK: time::Duration = time::Duration::from_secs(10);
 
@@ -127,7 +131,11 @@
     changing: &rc::Rc<std::cell::Cell<bool>>,
     pending: &mut Pending,
 ) {
-    let wanted = proposer.shared.ledger.borrow().replicas.clone();
+    let named = proposer.shared.ledger.borrow().replicas.clone();
+    let wanted = match proposer.voters {
+        Some(voters) if named.is_empty() => repaired(&proposer.log.view(), voters),
+        _ => named,
+    };
     if wanted.is_empty() || changing.get() || agrees(&proposer.log.view(), &wanted) {
         return;
     }
@@ -136,11 +144,25 @@
     let log = proposer.log.clone();
     let changing = changing.clone();
     pending.push(Box::pin(async move {
-        let _ = log.reconfigure(wanted).await;
+        if log.reconfigure(wanted).await.is_err() {
+            event::control::REPLICAS_CHANGING.log(format_args!("refused; tried again"));
+        }
+        tokio::time::sleep(CHANGE_PAUSE).await;
         changing.set(false);
     }));
 }
 
+/// The replicas of a group that keeps itself at a number of voters.
+fn repaired(view: &machine::GroupView, voters: u32) -> Vec<repair::Named> {
+    let seen = view.peers.iter().map(|peer| repair::Seen {
+        replica: peer.key,
+        addr: peer.addr.clone(),
+        replaced: peer.replaced,
+        silent: peer.silent,
+    });
+    repair::wanted(&seen.collect::<Vec<_>>(), &view.candidates, voters as usize)
+}
+
 fn agrees(view: &machine::GroupView, wanted: &[(ids::ReplicaKey, String)]) -> bool {
     let voters = view.peers.iter().filter(|peer| peer.voter);
     let mut present: Vec<_> = voters.map(|peer| (peer.key, peer.addr.clone())).collect();
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -4,6 +4,7 @@
 use quick_error::quick_error;
 
 use crate::core::ids;
+use crate::core::time;
 use crate::macros;
 
 /// The state machine that a replica applies committed entries to, in log order, exactly once each.
@@ -44,6 +45,10 @@
         pub voter: bool,
         /// The last entry it has confirmed.
         pub matched: ids::LogIndex,
+        /// Whether another store of its number was found at its address.
+        pub replaced: bool,
+        /// How long it has not answered this leader; zero where that is not known.
+        pub silent: time::Millis,
     }
 
     /// The group as this replica sees it.
@@ -56,6 +61,8 @@
         pub committed: ids::LogIndex,
         /// The replicas; confirmations are filled in by a leader only.
         pub peers: Vec<PeerView>,
+        /// Replicas that wait to be admitted, by number and address.
+        pub candidates: Vec<(ids::ReplicaKey, String)>,
     }
 }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -76,6 +76,7 @@
         let replica = replica::Replica::start(&settings, machine).await?;
         let proposer = proposer::Proposer {
             replica: ids::ReplicaKey(settings.replica),
+            voters: settings.voters,
             log: replica.clone(),
             shared,
         };
--- a/src/control/proposer.rs
+++ b/src/control/proposer.rs
@@ -20,6 +20,8 @@
 pub struct Proposer {
     /// This replica.
     pub replica: ids::ReplicaKey,
+    /// How many voters the group keeps itself at; none where only tickets change it.
+    pub voters: Option<u32>,
     /// The log.
     pub log: rc::Rc<dyn machine::Log>,
     /// The state that entries are applied to.
--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -35,6 +35,12 @@
 /// Bytes that count for each entry besides its command.
 const ENTRY_OVERHEAD: u64 = 64;
 
+/// How long a replica counts as waiting after it has said so; it says so every second.
+const CANDIDATE_LIFE: Millis = Millis(4000);
+
+/// The most replicas that may wait to be admitted.
+const MAX_CANDIDATES: usize = 64;
+
 /// How much was applied since the last snapshot.
 struct Applied {
     index: ids::LogIndex,
@@ -59,6 +65,8 @@
     /// Streams that peers have opened, for answers to them.
     routes: cell::RefCell<BTreeMap<entry::Identity, peer::Route>>,
     writer: cell::RefCell<Option<writer::Writer>>,
+    /// Replicas that wait to be admitted: their addresses, and when they last said so.
+    candidates: cell::RefCell<BTreeMap<ids::ReplicaKey, (String, Tick)>>,
     disk: sync::Arc<dyn disk::Disk>,
     started: Millis,
     wake: tokio::sync::Notify,
@@ -93,6 +101,7 @@
             applied: cell::RefCell::new(applied),
             links: cell::RefCell::default(),
             retired: cell::RefCell::default(),
+            candidates: cell::RefCell::default(),
             routes: cell::RefCell::default(),
             writer: cell::RefCell::new(Some(writer::Writer::start(
                 store,
@@ -173,15 +182,52 @@
             // A store that another has taken the place of votes no more.
             voter: member.voter && !replaced(member.id),
             matched: core.matched(member.id),
+            replaced: replaced(member.id),
+            silent: core.last_heard(member.id).map_or(Millis(0), |heard| self.now() - heard),
         };
         machine::GroupView {
             role: machine_role(&core, core.role()),
             term: core.hard().term,
             committed: core.committed(),
             peers: core.membership().members.iter().map(view).collect(),
+            candidates: self.candidates(),
         }
     }
 
+    /// Takes note of a replica that waits to be admitted.
+    pub(super) fn add_candidate(&self, replica: ids::ReplicaKey, addr: String) {
+        let now = self.now();
+        let candidates = &mut *self.candidates.borrow_mut();
+        if candidates.len() < MAX_CANDIDATES || candidates.contains_key(&replica) {
+            candidates.insert(replica, (addr, now));
+        }
+    }
+
+    /// The replicas that wait to be admitted and have said so lately.
+    fn candidates(&self) -> Vec<(ids::ReplicaKey, String)> {
+        let now = self.now();
+        let candidates = &mut *self.candidates.borrow_mut();
+        candidates.retain(|_, (_, said)| *said + CANDIDATE_LIFE > now);
+        candidates.iter().map(|(replica, (addr, _))| (*replica, addr.clone())).collect()
+    }
+
+    /// The addresses of all members.
+    pub(super) fn member_addrs(&self) -> Vec<String> {
+        let core = self.core.borrow();
+        core.membership().members.iter().map(|member| member.addr.clone()).collect()
+    }
+
+    /// Whether this replica leads or hears from a leader.
+    pub(super) fn is_led(&self) -> bool {
+        !matches!(self.core.borrow().role(), message::Role::Follower(None))
+    }
+
+    /// Resolves once another replica is known to lead, or the replica stops.
+    pub(super) async fn succeeded(&self) {
+        let follows = |role| matches!(role, message::Role::Follower(Some(_)));
+        self.until(|driver| follows(driver.core.borrow().role())).await;
+    }
+
     /// Resolves after a turn in which the condition holds, or when the replica stops.
     pub(super) async fn until(&self, condition: impl Fn(&Self) -> bool) {
         let mut turns = self.turns.subscribe();
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -24,6 +24,7 @@
 mod calls;
 mod driver;
 mod founding;
+mod joining;
 mod peer;
 mod writer;
 
@@ -125,6 +126,7 @@
         let tasks = vec![
             actix_rt::spawn(driver::run(inner.clone(), done)),
             actix_rt::spawn(founding::run(inner.clone(), settings.peers.clone())),
+            actix_rt::spawn(joining::run(inner.clone(), joining::Place::of(settings))),
         ];
         Ok(rc::Rc::new(Self { inner, tasks: cell::RefCell::new(tasks) }))
     }
@@ -193,7 +195,12 @@
         let inner = self.inner.clone();
         Box::pin(async move {
             inner.push(message::Input::HandOver);
-            let _ = tokio::time::timeout(HAND_OVER_WAIT, inner.stood_down()).await;
+            // The heir has to hear of it before the links close.
+            let handed = async {
+                inner.stood_down().await;
+                inner.succeeded().await;
+            };
+            let _ = tokio::time::timeout(HAND_OVER_WAIT, handed).await;
         })
     }
 }
--- a/src/control/replica/peer.rs
+++ b/src/control/replica/peer.rs
@@ -302,6 +302,10 @@
                 let Some(group) = driver.group() else { return };
                 sender.try_send(&peer::Down::Joined(group.0));
             }
+            (peer::Up::Candidate(addr), Some(id)) => {
+                driver.add_candidate(ids::ReplicaKey(id.replica), addr);
+                sender.try_send(&peer::Down::Members(driver.member_addrs()));
+            }
             (peer::Up::Envelope(envelope), Some(id)) if envelope.from == id => {
                 // A session that only asks who is here is no way to send answers.
                 driver.add_route(id.into(), &route);
--- a/src/core/consensus/leader.rs
+++ b/src/core/consensus/leader.rs
@@ -63,7 +63,7 @@
             waiting_bytes: 0,
             handing: None,
         }));
-        self.track_members(last);
+        self.track_members(now, last);
         let term = self.hard.term;
         let noop = entry::Entry { index: start, term, payload: entry::Payload::Noop };
         self.push_own(vec![noop], out);
@@ -71,13 +71,13 @@
     }
 
     /// Keeps one progress for each other member.
-    fn track_members(&mut self, last: ids::LogIndex) {
+    fn track_members(&mut self, now: time::Tick, last: ids::LogIndex) {
         let State::Leader(leader) = &mut self.state else { return };
         let members = &self.members.current().members;
         leader.progress.retain(|id, _| members.iter().any(|member| member.id == *id));
         for member in members {
             if member.id != self.id {
-                let fresh = || progress::Progress::new(last);
+                let fresh = || progress::Progress::new(now, last);
                 leader.progress.entry(member.id).or_insert_with(fresh);
             }
         }
@@ -211,6 +211,7 @@
         let length = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.length);
         let State::Leader(leader) = &mut self.state else { return };
         let Some(peer) = leader.progress.get_mut(&from) else { return };
+        peer.heard = now;
         let Some(transfer) = &mut peer.transfer else { return };
         if transfer.index != index {
             return;
@@ -239,6 +240,7 @@
         if matched > last {
             return;
         }
+        peer.heard = now;
         peer.round = peer.round.max(round.min(leader.round));
         peer.confirm(matched);
         if let Some(missing) = missing {
@@ -390,7 +392,7 @@
         let payload = entry::Payload::Membership(membership);
         out.push(message::Output::Accepted { token, index, term });
         self.push_own(vec![entry::Entry { index, term, payload }], out);
-        self.track_members(last);
+        self.track_members(now, last);
         self.replicate(now, true, out);
         self.advance(now, out);
     }
--- a/src/core/consensus/mod.rs
+++ b/src/core/consensus/mod.rs
@@ -15,6 +15,7 @@
 pub mod membership;
 pub mod message;
 pub mod progress;
+pub mod repair;
 pub mod replica;
 
 /// How often a leader shows itself to its followers.
--- a/src/core/consensus/progress.rs
+++ b/src/core/consensus/progress.rs
@@ -26,6 +26,8 @@
     pub next: ids::LogIndex,
     /// The last confirmation round it has answered.
     pub round: u64,
+    /// When it last answered, or began to be followed.
+    pub heard: time::Tick,
     /// A snapshot on its way.
     pub transfer: Option<Transfer>,
     inflight: VecDeque<(ids::LogIndex, usize)>,
@@ -34,11 +36,12 @@
 
 impl Progress {
     /// A follower of whom nothing is known; sending starts behind `last`.
-    pub fn new(last: ids::LogIndex) -> Self {
+    pub fn new(now: time::Tick, last: ids::LogIndex) -> Self {
         Self {
             matched: ids::LogIndex(0),
             next: ids::LogIndex(last.0 + 1),
             round: 0,
+            heard: now,
             transfer: None,
             inflight: VecDeque::new(),
             inflight_bytes: 0,
--- a/src/core/consensus/replica.rs
+++ b/src/core/consensus/replica.rs
@@ -215,6 +215,14 @@
         }
     }
 
+    /// When a follower last answered; known to a leader only.
+    pub fn last_heard(&self, id: entry::Identity) -> Option<time::Tick> {
+        match &self.state {
+            State::Leader(leader) => leader.progress.get(&id).map(|peer| peer.heard),
+            _ => None,
+        }
+    }
+
     /// The role that was last announced.
     pub fn role(&self) -> message::Role {
         self.told
--- a/src/ops/local.rs
+++ b/src/ops/local.rs
@@ -138,6 +138,8 @@
         advertise: None,
         http: loopback(),
         hold_ms: None,
+        voters: None,
+        seeds: Vec::new(),
         peers: peers.to_vec(),
         telemetry: Default::default(),
     }
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -39,6 +39,13 @@
     /// How long the agent of a worker of workflows may hold it after a report, in milliseconds.
     #[serde(default)]
     pub hold_ms: Option<u64>,
+    /// How many voters the group keeps itself at, by new stores and candidates; without it, only
+    /// tickets change the group.
+    #[serde(default)]
+    pub voters: Option<u32>,
+    /// The addresses at which to ask to be admitted to a group; none for a replica that waits.
+    #[serde(default)]
+    pub seeds: Vec<net::SocketAddr>,
     /// The founding members of the group.
     pub peers: Vec<Peer>,
     /// Logs and traces.
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -33,6 +33,8 @@
         Join(u128),
         /// A message of the log.
         Envelope(Envelope),
+        /// The speaker waits at this address to be admitted.
+        Candidate(String),
     }
 
     /// From the replica that was dialled.
@@ -44,6 +46,8 @@
         Joined(u128),
         /// A message of the log.
         Envelope(Envelope),
+        /// The answer to [`Up::Candidate`]: the addresses of all members known.
+        Members(Vec<String>),
     }
 
     /// A [`message::Envelope`].
--- a/tests/testsuite/control_session.rs
+++ b/tests/testsuite/control_session.rs
@@ -54,6 +54,7 @@
             term: ids::Term(1),
             committed: ids::LogIndex(self.index.get()),
             peers: Vec::new(),
+            candidates: Vec::new(),
         }
     }
 
@@ -83,7 +84,8 @@
         index: cell::Cell::new(0),
         fails: cell::Cell::new(false),
     });
-    let proposer = proposer::Proposer { replica: ids::ReplicaKey(1), log: log.clone(), shared };
+    let proposer =
+        proposer::Proposer { replica: ids::ReplicaKey(1), voters: None, log: log.clone(), shared };
     let addr = "127.0.0.1:0".parse().expect("an address");
     let server =
         stream::Server::bind(addr, 4, rc::Rc::new(Sessions(proposer))).await.expect("a server");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod process_replicas;
 mod process_stop;
 mod process_ticket;
+mod repair;
 mod replica;
 mod replica_cut;
 mod replica_support;
--- a/tests/testsuite/replica.rs
+++ b/tests/testsuite/replica.rs
@@ -281,3 +281,39 @@
         assert!(!replica.leads() || replica.barrier().await.is_err());
     });
 }
+
+#[test]
+fn hand_over_ends_with_a_successor() {
+    support::run(async {
+        let group = replica_support::Group::start(3).await;
+        let leader = group.nodes[group.leader().await].replica();
+        leader.hand_over().await;
+        // Had the heir not heard of it, nobody would lead before an election's time is over.
+        let role = leader.view().role;
+        assert!(matches!(role, machine::Role::Follower { leader: Some(_) }), "{role:?}");
+        group.stop().await;
+    });
+}
+
+#[test]
+fn replica_without_group_asks_to_be_admitted() {
+    support::run(async {
+        let mut group = replica_support::Group::start(3).await;
+        let leader = group.leader().await;
+        let follower = (leader + 1) % 3;
+        let added = group.add().await;
+        // It knows one replica, which does not lead, and learns the others from it.
+        group.nodes[added].settings.seeds = vec![group.nodes[follower].settings.listen];
+        group.nodes[added].start().await;
+        let member = group.nodes[added].member();
+        let seen = || {
+            group.nodes.iter().any(|node| {
+                node.runs()
+                    && node.replica().leads()
+                    && node.replica().view().candidates.contains(&member)
+            })
+        };
+        replica_support::until("the leader to see the candidate", seen).await;
+        group.stop().await;
+    });
+}
