--- a/src/control/gate_session.rs
+++ b/src/control/gate_session.rs
@@ -140,10 +140,10 @@
         attempts: target.queue.attempts,
         workflow,
     };
-    let id = submission.id.clone();
+    let told = described(&submission);
     match propose(proposer, workflow::command::Command::Submit(submission)).await {
         Ok(workflow::command::Outcome::Accepted(job)) => {
-            event::control::JOB_ACCEPTED.log(format_args!("id={id} job={job}"));
+            event::control::JOB_ACCEPTED.log(format_args!("job={job} {told}"));
             gate::Reply::Accepted
         }
         Ok(_) => gate::Reply::Undecided(true),
@@ -151,6 +151,25 @@
     }
 }
 
+/// What decides on a job, in words for the log.
+fn described(submission: &workflow::command::Submission) -> String {
+    let steps = submission.workflow.steps.iter().map(|step| {
+        let kind = if step.gang { "gang" } else { "tasks" };
+        format!(
+            "{}:{}x{}a{}c~{}ms",
+            kind, step.count, step.accelerators, step.cpu, step.estimate
+        )
+    });
+    format!(
+        "id={} queue={} account={} priority={} steps={}",
+        submission.id,
+        submission.place,
+        submission.account,
+        submission.priority,
+        steps.collect::<Vec<_>>().join(",")
+    )
+}
+
 fn show(proposer: &proposer::Proposer, address: &gate::Address) -> gate::Reply {
     let target = match resolve(proposer, address) {
         Ok(target) => target,
--- a/src/control/machine_state.rs
+++ b/src/control/machine_state.rs
@@ -17,6 +17,7 @@
 use crate::core::ledger::state;
 use crate::core::time;
 use crate::core::workflow::book;
+use crate::core::workflow::command as workflow;
 use crate::net::stream;
 use crate::telemetry::event;
 use crate::wire::codec;
@@ -129,6 +130,18 @@
     }
 }
 
+/// Logs what a change of the workflows means to their callers; only the leader does.
+fn log_change(book: &book::Book, change: &workflow::Event, now: dispatch::order::Moment) {
+    let workflow::Event::Finished(key) = change else { return };
+    let Some(job) = book.jobs.get(key) else { return };
+    event::control::JOB_ENDED.log(format_args!(
+        "job={key} id={} phase={:?} after_ms={}",
+        job.submission.id,
+        job.phase,
+        now.wall.0.saturating_sub(job.accepted)
+    ));
+}
+
 /// The machine.
 pub struct LedgerMachine {
     shared: rc::Rc<Shared>,
@@ -149,6 +162,7 @@
                 outcome::Event::Ended(job) => self.shared.ended(*job),
                 outcome::Event::Workflow(event) => {
                     self.shared.with_dispatch(|dispatch, book, now| {
+                        log_change(book, event, now);
                         dispatch.event(book, event, now);
                     });
                     continue;
--- a/src/telemetry/event/control.rs
+++ b/src/telemetry/event/control.rs
@@ -22,6 +22,7 @@
     RUN_ENDED,
     PROPOSAL_LOST,
     ORDER_DROPPED,
+    JOB_ENDED,
 ];
 
 /// A committed entry can't be decoded; it was written by another version.
@@ -60,3 +61,5 @@
 pub const PROPOSAL_LOST: Event = Event::new(216, log::Level::Warn, "proposal lost");
 /// An agent does not read its orders fast enough.
 pub const ORDER_DROPPED: Event = Event::new(217, log::Level::Warn, "order dropped");
+/// A workflow is completed, failed or cancelled.
+pub const JOB_ENDED: Event = Event::new(218, log::Level::Info, "job ended");
