Place by pace and health, and stop less for urgent work

Change: pace (a run's own progress, still runs), health (speed by queue and worker, strikes by task, a job held against one worker at most), record (the same from the log, on every replica, so that a new leader knows it). Gangs and data wait for their rack as long as that is worth; room is reclaimed rack by rack; what ends within a stop's time is not stopped; beyond a guarantee no more work is thrown away than a quarter of the urgent step's own. Leaving workers lose their tasks with checkpoints just before they go. Agents look twice a second; silence of a leader is noticed after 1.0 s and 1.5 s.

--- a/src/control/gate_session.rs
+++ b/src/control/gate_session.rs
@@ -153,23 +153,44 @@
 
 /// What decides on a job, in words for the log.
 fn described(submission: &workflow::command::Submission) -> String {
-    let steps = submission.workflow.steps.iter().map(|step| {
-        let kind = if step.gang { "gang" } else { "tasks" };
-        format!(
-            "{}:{}x{}a{}c~{}ms",
-            kind, step.count, step.accelerators, step.cpu, step.estimate
-        )
-    });
+    let steps = submission.workflow.steps.iter().map(described_step);
+    let schedule = submission.workflow.schedule.as_ref();
     format!(
-        "id={} queue={} account={} priority={} steps={}",
+        "id={} queue={} account={} priority={} steps={} times={}",
         submission.id,
         submission.place,
         submission.account,
         submission.priority,
-        steps.collect::<Vec<_>>().join(",")
+        steps.collect::<Vec<_>>().join(","),
+        schedule.map_or(1, |schedule| schedule.times)
     )
 }
 
+fn described_step(step: &workflow::model::Step) -> String {
+    let kind = if step.gang { "gang" } else { "tasks" };
+    let (count, cpu) = (step.count, step.cpu);
+    let (accelerators, estimate) = (step.accelerators, step.estimate);
+    let mut text = format!("{kind}:{count}x{accelerators}a{cpu}c~{estimate}ms");
+    let named = [("on", &step.constraint), ("near", &step.affinity)];
+    for (word, value) in named {
+        if let Some(value) = value {
+            text += &format!("/{word}:{value}");
+        }
+    }
+    let flags = [
+        ("rack", step.one_rack),
+        ("saves", step.checkpoints),
+        ("lasts", step.lasting),
+        ("fills", step.fills),
+        ("copies", step.speculative),
+        ("spread", step.spread > 0),
+    ];
+    for (word, _) in flags.iter().filter(|(_, set)| *set) {
+        text += &format!("/{word}");
+    }
+    text
+}
+
 fn show(proposer: &proposer::Proposer, address: &gate::Address) -> gate::Reply {
     let target = match resolve(proposer, address) {
         Ok(target) => target,
--- a/src/control/machine_state.rs
+++ b/src/control/machine_state.rs
@@ -11,6 +11,7 @@
 use crate::control::lead;
 use crate::control::machine;
 use crate::core::dispatch;
+use crate::core::dispatch::record;
 use crate::core::ids;
 use crate::core::ledger::command;
 use crate::core::ledger::outcome;
@@ -39,6 +40,8 @@
     pub wake: tokio::sync::Notify,
     /// The leader's decisions on workflows, while this replica leads.
     pub dispatch: cell::RefCell<Option<dispatch::Dispatch>>,
+    /// What the log tells of the workers of workflows.
+    pub record: cell::RefCell<record::Record>,
     /// Wakes the loop that carries these out.
     pub dispatch_wake: tokio::sync::Notify,
     /// The sessions of agents of workflows, by host, each with its number.
@@ -67,6 +70,7 @@
             lead: cell::RefCell::default(),
             wake: tokio::sync::Notify::new(),
             dispatch: cell::RefCell::default(),
+            record: cell::RefCell::default(),
             dispatch_wake: tokio::sync::Notify::new(),
             runners: cell::RefCell::default(),
             lease,
@@ -153,6 +157,13 @@
         Self { shared }
     }
 
+    /// Learns of workers from the log, on every replica.
+    fn learn(&self, change: &workflow::Event) {
+        let ledger = self.shared.ledger.borrow();
+        let now = self.shared.clock.tick();
+        self.shared.record.borrow_mut().event(&ledger.workflows, change, ledger.now, now);
+    }
+
     fn publish(&self, events: &[outcome::Event]) {
         for event in events {
             match event {
@@ -161,6 +172,7 @@
                 }
                 outcome::Event::Ended(job) => self.shared.ended(*job),
                 outcome::Event::Workflow(event) => {
+                    self.learn(event);
                     self.shared.with_dispatch(|dispatch, book, now| {
                         log_change(book, event, now);
                         dispatch.event(book, event, now);
@@ -224,7 +236,8 @@
         }
         let dispatch = lead.is_some().then(|| {
             let book = &self.shared.ledger.borrow().workflows;
-            dispatch::Dispatch::new(book, self.shared.lease, self.shared.moment())
+            let health = self.shared.record.borrow().health().clone();
+            dispatch::Dispatch::new(book, health, self.shared.lease, self.shared.moment())
         });
         *self.shared.lead.borrow_mut() = lead;
         *self.shared.dispatch.borrow_mut() = dispatch;
--- a/src/core/dispatch/fit.rs
+++ b/src/core/dispatch/fit.rs
@@ -1,22 +1,27 @@
 //! Where the tasks of a step fit.
 //!
-//! Answers three loads: many small tasks beside large ones (a task takes the worker where it
-//! leaves the least room over, so that whole workers stay whole), gangs that are slowed across
-//! racks (the fullest rack that holds all of it), and data on one rack (its workers first; others
-//! once the step has waited a while).
+//! Answers four loads: many small tasks beside large ones (a task takes the worker where it leaves
+//! the least room over, so that whole workers stay whole), workers of different speed (urgent tasks
+//! take slow ones last, others first), gangs that are slowed across racks (the fullest rack that
+//! holds all of it, and no other while waiting costs less), and data on one rack (its workers
+//! first, others once the step has waited a while).
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use crate::core::dispatch::fleet;
+use crate::core::dispatch::health;
 use crate::core::dispatch::order;
 use crate::core::dispatch::order::Room;
 use crate::core::time;
 use crate::core::workflow::model;
 
-/// How long a step waits for workers near its data, or a gang for one rack, before it runs slowed.
+/// How long a step waits at least for workers near its data, or a gang for one rack.
 const NEAR_PATIENCE: time::Millis = time::Millis(1200);
 
+/// How long it waits at most.
+const MAX_PATIENCE: time::Millis = time::Millis(6000);
+
 /// A worker that may take tasks of a step.
 #[derive(Clone, Debug)]
 pub struct Site {
@@ -32,24 +37,62 @@
     pub capacity: Room,
     /// Tasks of the step that it may still take.
     pub spread: u32,
+    /// Whether it is slower than others.
+    pub slow: bool,
+    /// Whether something has failed there lately.
+    pub doubted: bool,
 }
 
 /// Room that is kept for a step, by host.
 pub type Kept = BTreeMap<u32, Room>;
 
+/// What a step asks of workers.
+#[derive(Clone, Copy)]
+pub struct Ask<'a> {
+    /// The step.
+    pub step: &'a model::Step,
+    /// The pool that runs it.
+    pub pool: &'a str,
+    /// Whether it is urgent.
+    pub urgent: bool,
+    /// How long it has waited.
+    pub waited: time::Millis,
+    /// Whether more than half of the pool's accelerators are taken: with room to spare, waiting
+    /// for better places is not worth it.
+    pub crowded: bool,
+}
+
+impl Ask<'_> {
+    /// How long it is worth waiting for workers on which the step runs at full speed: a third of
+    /// the time that it would take elsewhere is its own, so that two of its own are lost there.
+    fn patience(&self) -> time::Millis {
+        if !self.crowded {
+            return NEAR_PATIENCE;
+        }
+        let estimate = time::Millis(u64::from(self.step.estimate));
+        estimate.clamp(NEAR_PATIENCE, MAX_PATIENCE)
+    }
+
+    fn is_patient(&self) -> bool {
+        self.waited < self.patience()
+    }
+}
+
 /// The open workers of a pool that satisfy a step's constraint.
 pub fn sites(
     workers: &BTreeMap<u32, fleet::Worker>,
-    pool: &str,
-    step: &model::Step,
+    health: &health::Health,
+    ask: Ask<'_>,
     kept: &Kept,
     now: order::Moment,
 ) -> Vec<Site> {
     let mut sites = Vec::new();
     for (host, worker) in workers {
         let Some(said) = &worker.said else { continue };
-        let labelled = step.constraint.as_ref().is_none_or(|label| said.labels.contains(label));
-        if said.pool != pool || !labelled || !worker.is_open(now.tick) {
+        let constraint = ask.step.constraint.as_ref();
+        let labelled = constraint.is_none_or(|label| said.labels.contains(label));
+        let open = worker.is_open(now.tick) && health.is_trusted(*host, now.tick);
+        if said.pool != ask.pool || !labelled || !open {
             continue;
         }
         let kept = kept.get(host).copied().unwrap_or_default();
@@ -59,72 +102,90 @@
             rack: said.rack.clone(),
             free: worker.free().minus(kept),
             capacity: said.capacity,
-            spread: if step.spread == 0 { u32::MAX } else { step.spread },
+            spread: if ask.step.spread == 0 { u32::MAX } else { ask.step.spread },
+            slow: health.is_slow(*host),
+            doubted: health.is_doubted(*host),
         });
     }
     sites
 }
 
-/// A choice of workers for some tasks, in the order of the tasks.
-pub type Choice = Vec<(u32, model::Life)>;
+/// The sites that a step may use at present: those near its data, unless it has waited long enough
+/// or there are none.
+pub fn near(sites: &[Site], ask: Ask<'_>) -> Vec<Site> {
+    let Some(rack) = &ask.step.affinity else { return sites.to_vec() };
+    let near: Vec<Site> = sites.iter().filter(|site| site.rack == *rack).cloned().collect();
+    if near.is_empty() || !ask.is_patient() { sites.to_vec() } else { near }
+}
 
-/// Finds places for up to `count` tasks of a step that has waited for `waited`. A gang gets all or
-/// none.
-pub fn choose(sites: &[Site], step: &model::Step, count: usize, waited: time::Millis) -> Choice {
-    let patient = waited < NEAR_PATIENCE;
-    if step.gang {
-        return choose_gang(sites, step, count, patient).unwrap_or_default();
+/// The sets of sites on which a gang may be placed at present, the best first.
+pub fn grounds(sites: &[Site], ask: Ask<'_>, count: usize) -> Vec<Vec<Site>> {
+    if !(ask.step.gang && ask.step.one_rack) {
+        return vec![sites.to_vec()];
     }
-    let near = |site: &&Site| step.affinity.as_ref().is_none_or(|rack| *rack == site.rack);
-    let mut ground: Vec<Site> = sites.iter().filter(near).cloned().collect();
-    let mut chosen = pack(&mut ground, step, count);
-    let none_near = ground.is_empty();
-    if chosen.len() < count && step.affinity.is_some() && (!patient || none_near) {
-        let mut far: Vec<Site> = sites.iter().filter(|site| !near(site)).cloned().collect();
-        chosen.extend(pack(&mut far, step, count - chosen.len()));
+    let racks: BTreeSet<&str> = sites.iter().map(|site| site.rack.as_str()).collect();
+    let on_rack = |rack: &&str| -> Vec<Site> {
+        sites.iter().filter(|site| site.rack == **rack).cloned().collect()
+    };
+    let mut grounds: Vec<Vec<Site>> = racks.iter().map(on_rack).collect();
+    let could_ever = grounds.iter().any(|ground| {
+        let mut empty = ground.clone();
+        empty.iter_mut().for_each(|site| site.free = site.capacity);
+        pack(&mut empty, ask, count).len() == count
+    });
+    if !could_ever || !ask.is_patient() {
+        grounds.push(sites.to_vec());
     }
-    chosen
+    grounds
 }
 
-fn choose_gang(sites: &[Site], step: &model::Step, count: usize, patient: bool) -> Option<Choice> {
-    let whole = |ground: &mut Vec<Site>| {
-        let chosen = pack(ground, step, count);
-        (chosen.len() == count).then_some(chosen)
-    };
-    if !step.one_rack {
-        return whole(&mut sites.to_vec());
+/// A choice of workers for some tasks, in the order of the tasks.
+pub type Choice = Vec<(u32, model::Life)>;
+
+/// Finds places for up to `count` tasks of a step. A gang gets all or none.
+pub fn choose(sites: &[Site], ask: Ask<'_>, count: usize) -> Choice {
+    if !ask.step.gang {
+        return choose_tasks(sites, ask, count);
     }
-    let racks: BTreeSet<&str> = sites.iter().map(|site| site.rack.as_str()).collect();
-    let on_rack = |rack: &str| -> Vec<Site> {
-        sites.iter().filter(|site| site.rack == rack).cloned().collect()
-    };
-    let mut best: Option<(u32, Choice)> = None;
-    for rack in &racks {
-        let mut ground = on_rack(rack);
-        let Some(chosen) = whole(&mut ground) else { continue };
+    let mut best: Option<(usize, u32, Choice)> = None;
+    for mut ground in grounds(sites, ask, count) {
+        let chosen = pack(&mut ground, ask, count);
+        if chosen.len() < count {
+            continue;
+        }
+        let poor = ground.iter().filter(|site| {
+            let used = chosen.iter().any(|(host, _)| *host == site.host);
+            used && (site.doubted || (site.slow && ask.urgent))
+        });
+        let poor = poor.count();
         let left = ground.iter().map(|site| site.free.accelerators).sum();
-        if best.as_ref().is_none_or(|(least, _)| left < *least) {
-            best = Some((left, chosen));
+        if best.as_ref().is_none_or(|(p, l, _)| (poor, left) < (*p, *l)) {
+            best = Some((poor, left, chosen));
         }
     }
-    if let Some((_, chosen)) = best {
-        return Some(chosen);
+    best.map(|(_, _, chosen)| chosen).unwrap_or_default()
+}
+
+fn choose_tasks(sites: &[Site], ask: Ask<'_>, count: usize) -> Choice {
+    let Some(rack) = &ask.step.affinity else { return pack(&mut sites.to_vec(), ask, count) };
+    let is_near = |site: &&Site| site.rack == *rack;
+    let mut ground: Vec<Site> = sites.iter().filter(is_near).cloned().collect();
+    let none_near = ground.is_empty();
+    let mut chosen = pack(&mut ground, ask, count);
+    if chosen.len() < count && (none_near || !ask.is_patient()) {
+        let mut far: Vec<Site> = sites.iter().filter(|site| !is_near(site)).cloned().collect();
+        chosen.extend(pack(&mut far, ask, count - chosen.len()));
     }
-    let could_ever = racks.iter().any(|rack| {
-        let mut empty = on_rack(rack);
-        empty.iter_mut().for_each(|site| site.free = site.capacity);
-        whole(&mut empty).is_some()
-    });
-    if patient && could_ever { None } else { whole(&mut sites.to_vec()) }
+    chosen
 }
 
-/// Puts up to `count` tasks, each where it leaves the least over.
-fn pack(ground: &mut [Site], step: &model::Step, count: usize) -> Choice {
-    let need = Room::of(step);
+/// Puts up to `count` tasks, each where it is best.
+fn pack(ground: &mut [Site], ask: Ask<'_>, count: usize) -> Choice {
+    let need = Room::of(ask.step);
     let mut chosen = Vec::new();
     while chosen.len() < count {
         let fits = ground.iter_mut().filter(|site| site.spread > 0 && site.free.holds(need));
-        let Some(site) = fits.min_by_key(|site| leftover(site.free.minus(need))) else { break };
+        let Some(site) = fits.min_by_key(|site| cost(site, ask, need)) else { break };
         site.free = site.free.minus(need);
         site.spread -= 1;
         chosen.push((site.host, site.life));
@@ -132,7 +193,10 @@
     chosen
 }
 
-/// What stays free at a worker, in the order in which it matters to later tasks.
-fn leftover(free: Room) -> (u32, u32) {
-    (free.accelerators, free.cpu)
+/// What speaks against a site, in the order in which it matters.
+fn cost(site: &Site, ask: Ask<'_>, need: Room) -> (bool, bool, u32, u32) {
+    let left = site.free.minus(need);
+    // Work that can wait keeps off the workers that urgent work wants.
+    let unfit = site.slow == ask.urgent;
+    (site.doubted, unfit, left.accelerators, left.cpu)
 }
--- a/src/core/dispatch/fleet.rs
+++ b/src/core/dispatch/fleet.rs
@@ -30,6 +30,8 @@
     pub connected: bool,
     /// Whether its last report was its own, current answer.
     pub current: bool,
+    /// Until when it stays at least, if it is leaving.
+    pub stays: Option<time::Tick>,
     /// No new task before this point.
     pub blocked: time::Tick,
     /// What its runs occupy, by run.
@@ -53,6 +55,7 @@
             until,
             connected: false,
             current: false,
+            stays: None,
             blocked: time::Tick(0),
             taken: BTreeMap::new(),
             strangers: 0,
--- /dev/null
+++ b/src/core/dispatch/health.rs
@@ -0,0 +1,170 @@
+//! How fast each worker is, and whether it can be trusted with tasks.
+//!
+//! Answers three loads: workers of very different speed (urgent work avoids the slow ones),
+//! workers that fail all that they start (after two failures of different tasks without a success
+//! they get none for a while, longer each time; a job that fails everywhere is held against one
+//! worker at most), and workers on which tasks stand still. It is kept
+//! by host, since a machine's speed outlives its worker.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use crate::core::ids;
+use crate::core::time;
+use crate::core::workflow::model;
+
+/// How much workers differ in speed before anything is known: the variance of its logarithm.
+const SPREAD: f64 = 0.12;
+
+/// How much a worker's speed may have changed since the last run: the same, for each run.
+const CHANGE: f64 = 0.01;
+
+/// The smallest variance of one run's evidence.
+const LEAST_NOISE: f64 = 0.05;
+
+/// The variance of one run's evidence before anything is known of its queue.
+const FIRST_NOISE: f64 = 0.2;
+
+/// The weight of a new run in what is known of its queue, at least.
+const LEAST_WEIGHT: f64 = 0.05;
+
+/// Failures of different tasks without a success after which a worker gets no tasks.
+const STRIKES: usize = 2;
+
+/// Jobs that have failed whose first worker is remembered.
+const BLAMED: usize = 256;
+
+/// How long a worker gets no tasks the first time, and at most.
+const PAUSE: (time::Millis, time::Millis) = (time::Millis(3000), time::Millis(12_000));
+
+/// A worker is slow below this share of the fleet's usual speed: a step between the speeds that
+/// machines of one fleet have, which differ by a factor of two.
+const SLOW: f64 = 0.72;
+
+/// What is known of the runs of one queue against their estimates.
+#[derive(Clone, Copy, Debug)]
+struct Queue {
+    mean: f64,
+    noise: f64,
+    runs: u32,
+}
+
+/// What is known of one worker.
+#[derive(Clone, Debug)]
+struct Worker {
+    /// The logarithm of its speed.
+    speed: f64,
+    /// The variance of that.
+    spread: f64,
+    /// The tasks that have failed there since the last success.
+    strikes: Vec<model::TaskKey>,
+    /// No tasks before this point.
+    paused: time::Tick,
+    pause: time::Millis,
+}
+
+impl Default for Worker {
+    fn default() -> Self {
+        Self {
+            speed: 0.0,
+            spread: SPREAD,
+            strikes: Vec::new(),
+            paused: time::Tick(0),
+            pause: PAUSE.0,
+        }
+    }
+}
+
+/// What is known of all workers.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    workers: BTreeMap<u32, Worker>,
+    queues: BTreeMap<String, Queue>,
+    /// The worker on which a job failed first, for jobs that have failed lately.
+    blamed: VecDeque<(ids::JobKey, u32)>,
+}
+
+impl Health {
+    /// Learns from a run of a queue: its speed against its estimate.
+    pub fn ran(&mut self, host: u32, queue: &str, ratio: f64) {
+        let seen = ratio.clamp(0.01, 100.0).ln();
+        let fresh = Queue { mean: 0.0, noise: FIRST_NOISE, runs: 0 };
+        let known = self.queues.entry(queue.to_owned()).or_insert(fresh);
+        let worker = self.workers.entry(host).or_default();
+        let error = seen - known.mean - worker.speed;
+        known.runs += 1;
+        let weight = (1.0 / f64::from(known.runs)).max(LEAST_WEIGHT);
+        known.mean += weight * (seen - worker.speed - known.mean);
+        if known.runs > 1 {
+            known.noise += weight * (error * error - known.noise);
+        }
+        let noise = known.noise.max(LEAST_NOISE);
+        let spread = worker.spread + CHANGE;
+        let gain = spread / (spread + noise);
+        worker.speed += gain * error;
+        worker.spread = spread * (1.0 - gain);
+    }
+
+    /// A task was done there.
+    pub fn succeeded(&mut self, host: u32) {
+        let worker = self.workers.entry(host).or_default();
+        worker.strikes.clear();
+        worker.pause = PAUSE.0;
+    }
+
+    /// A task has failed there.
+    pub fn failed(&mut self, host: u32, task: model::TaskKey, now: time::Tick) {
+        let first = self.blamed.iter().find(|(job, _)| *job == task.job);
+        match first {
+            Some((_, blamed)) if *blamed != host => return,
+            Some(_) => {}
+            None => {
+                self.blamed.push_back((task.job, host));
+                if self.blamed.len() > BLAMED {
+                    self.blamed.pop_front();
+                }
+            }
+        }
+        let worker = self.workers.entry(host).or_default();
+        if !worker.strikes.contains(&task) {
+            worker.strikes.push(task);
+        }
+        if worker.strikes.len() >= STRIKES {
+            self.pause(host, now);
+        }
+    }
+
+    /// The worker gets no tasks for a while, longer each time until it succeeds with one.
+    pub fn pause(&mut self, host: u32, now: time::Tick) {
+        let worker = self.workers.entry(host).or_default();
+        worker.paused = now + worker.pause;
+        worker.pause = time::Millis(worker.pause.0 * 2).min(PAUSE.1);
+    }
+
+    /// Whether the worker may get tasks.
+    pub fn is_trusted(&self, host: u32, now: time::Tick) -> bool {
+        self.workers.get(&host).is_none_or(|worker| worker.paused <= now)
+    }
+
+    /// Whether something has failed there and nothing succeeded since.
+    pub fn is_doubted(&self, host: u32) -> bool {
+        self.workers.get(&host).is_some_and(|worker| !worker.strikes.is_empty())
+    }
+
+    /// The worker's speed; 1 where nothing is known.
+    pub fn speed(&self, host: u32) -> f64 {
+        self.workers.get(&host).map_or(1.0, |worker| worker.speed.exp())
+    }
+
+    /// Whether the worker is clearly slower than the fleet usually is.
+    pub fn is_slow(&self, host: u32) -> bool {
+        self.speed(host) < self.usual() * SLOW
+    }
+
+    /// The speed that half of the workers reach.
+    fn usual(&self) -> f64 {
+        let mut speeds: Vec<f64> = self.workers.values().map(|worker| worker.speed).collect();
+        speeds.sort_by(f64::total_cmp);
+        speeds.get(speeds.len() / 2).map_or(1.0, |speed| speed.exp())
+    }
+}
--- a/src/core/dispatch/lead.rs
+++ b/src/core/dispatch/lead.rs
@@ -5,9 +5,11 @@
 
 use crate::core::dispatch::fit;
 use crate::core::dispatch::fleet;
+use crate::core::dispatch::health;
 use crate::core::dispatch::order;
 use crate::core::dispatch::order::Moment;
 use crate::core::dispatch::order::Room;
+use crate::core::dispatch::pace;
 use crate::core::dispatch::queue;
 use crate::core::dispatch::reclaim;
 use crate::core::dispatch::runs;
@@ -22,7 +24,14 @@
 const MISSING: time::Millis = time::Millis(1500);
 
 /// How long room is kept for a step after others were stopped for it.
-const KEPT: time::Millis = time::Millis(2500);
+const KEPT: time::Millis = time::Millis(1500);
+
+/// How long a worker that leaves stays if it does not say: as long as it has to be served.
+const STAYS: time::Millis = time::Millis(2000);
+
+/// How long before a worker leaves its tasks with checkpoints are stopped: a stop takes 400 ms, and
+/// its report has to arrive.
+const LAST_STOP: time::Millis = time::Millis(900);
 
 /// Room that is kept for a step.
 #[derive(Debug)]
@@ -37,6 +46,7 @@
     lease: time::Millis,
     workers: BTreeMap<u32, fleet::Worker>,
     runs: runs::Runs,
+    health: health::Health,
     /// By the first task of the step.
     claims: BTreeMap<model::TaskKey, Claim>,
     effects: Vec<order::Effect>,
@@ -44,11 +54,19 @@
 
 impl Dispatch {
     /// Begins to lead with what the book holds. The predecessor may have granted leases until now.
-    pub fn new(book: &book::Book, lease: time::Millis, now: Moment) -> Self {
+    ///
+    /// What was learnt of the workers from the log goes on to count.
+    pub fn new(
+        book: &book::Book,
+        health: health::Health,
+        lease: time::Millis,
+        now: Moment,
+    ) -> Self {
         let mut dispatch = Self {
             lease,
             workers: BTreeMap::new(),
             runs: BTreeMap::new(),
+            health,
             claims: BTreeMap::new(),
             effects: Vec::new(),
         };
@@ -131,6 +149,7 @@
         }
         let Some(worker) = self.workers.get_mut(&host) else { return };
         let life = said.life;
+        worker.stays = said.draining.then(|| now.tick + report.stays.map_or(STAYS, time::Millis));
         worker.said = Some(said);
         worker.current = report.current;
         if !report.current {
@@ -141,7 +160,7 @@
         self.effects.push(order::Effect::Order(host, grant));
         let mut listed = BTreeSet::new();
         self.running(book, host, life, report.running, &mut listed, now);
-        self.finished(book, host, life, report.finished, &mut listed);
+        self.finished(book, host, life, report.finished, &mut listed, now);
         self.chase(book, host, life, &listed, now);
         self.tell_seen(host);
     }
@@ -168,7 +187,12 @@
             };
             listed.insert(key);
             run.heard = now.tick;
-            run.percent = entry.percent;
+            run.pace.heard(now.tick, entry.percent);
+            if let Some(ratio) = run.pace.ratio().filter(|_| !run.learnt && !run.gang) {
+                run.learnt = true;
+                let place = book.jobs.get(&key.task.job).map(|job| &job.submission.place);
+                self.health.ran(host, place.map_or("", String::as_str), ratio);
+            }
             if !entry.saved.is_empty() {
                 run.saved = entry.saved;
             }
@@ -188,6 +212,7 @@
         life: model::Life,
         finished: Vec<order::Finished>,
         listed: &mut BTreeSet<model::RunKey>,
+        now: Moment,
     ) {
         let mut endings = Vec::new();
         let Some(worker) = self.workers.get_mut(&host) else { return };
@@ -205,6 +230,11 @@
                 continue;
             }
             run.state = runs::State::Ending;
+            match entry.how {
+                model::How::Done => self.health.succeeded(host),
+                model::How::Failed => self.health.failed(host, key.task, now.tick),
+                _ => {}
+            }
             worker.ending.insert(entry.number, key);
             endings.push(command::Ending::new(key, entry.how, entry.saved));
         }
@@ -283,7 +313,7 @@
                     self.stop(book, key, now);
                 }
             }
-            command::Event::Ended(key) => self.ended(book, *key, now),
+            command::Event::Ended(key, _) => self.ended(book, *key, now),
             command::Event::Configured(_)
             | command::Event::Submitted(_)
             | command::Event::Finished(_) => {}
@@ -372,9 +402,81 @@
             self.lose(life, now);
         }
         self.claims.retain(|_, claim| claim.until > now.tick);
+        self.relieve(book, now);
         self.plan(book, now);
     }
 
+    /// Stops what would get on better elsewhere: runs that stand still, and those that a leaving
+    /// worker can't end.
+    fn relieve(&mut self, book: &book::Book, now: Moment) {
+        let still = self.still_hosts(now);
+        for host in &still {
+            self.health.pause(*host, now.tick);
+        }
+        let mut moved = Vec::new();
+        for (key, run) in &self.runs {
+            let Some(job) = book.jobs.get(&key.task.job) else { continue };
+            let step = job.step(key.task.step);
+            if run.state != runs::State::Running || step.lasting || step.fills {
+                continue;
+            }
+            if still.contains(&run.life.host) && self.is_still(run, now) {
+                moved.push(*key);
+            } else if self.is_doomed(run, now)
+                && (run.saves || self.fits_elsewhere(job, key, book, now))
+            {
+                moved.push(*key);
+            }
+        }
+        for key in moved {
+            self.stop(book, key, now);
+        }
+    }
+
+    fn is_still(&self, run: &runs::Run, now: Moment) -> bool {
+        run.pace.is_still(now.tick, self.health.speed(run.life.host))
+    }
+
+    /// The hosts on which everything stands still.
+    fn still_hosts(&self, now: Moment) -> BTreeSet<u32> {
+        let mut still: BTreeMap<u32, bool> = BTreeMap::new();
+        for run in self.runs.values().filter(|run| run.state == runs::State::Running) {
+            let so_far = still.entry(run.life.host).or_insert(true);
+            *so_far &= self.is_still(run, now);
+        }
+        still.into_iter().filter(|(_, still)| *still).map(|(host, _)| host).collect()
+    }
+
+    /// Whether a run's worker leaves before the run can end, and it is time to stop it.
+    fn is_doomed(&self, run: &runs::Run, now: Moment) -> bool {
+        let worker = self.workers.get(&run.life.host);
+        let Some(stays) = worker.and_then(|worker| worker.stays) else { return false };
+        let left = stays - now.tick;
+        let remaining = run.pace.remaining(now.tick, self.health.speed(run.life.host));
+        remaining > left && (!run.saves || left <= LAST_STOP)
+    }
+
+    /// Whether a task could run elsewhere at once.
+    fn fits_elsewhere(
+        &self,
+        job: &job::Job,
+        key: &model::RunKey,
+        book: &book::Book,
+        now: Moment,
+    ) -> bool {
+        let first = model::TaskKey { index: 0, ..key.task };
+        let waiting = queue::Waiting {
+            rank: queue::plain_rank(job),
+            spent: false,
+            objective: 0,
+            first,
+            since: now.wall.0,
+        };
+        let ask = self.ask(book, job, &waiting, now);
+        let need = Room::of(ask.step);
+        self.sites(ask, first, now).iter().any(|site| site.free.holds(need))
+    }
+
     /// Everything of a life has certainly ended.
     fn lose(&mut self, life: model::Life, _now: Moment) {
         let lost = self.runs.iter().filter(|(_, run)| {
@@ -414,20 +516,40 @@
             if indices.is_empty() || (step.gang && indices.len() < step.count as usize) {
                 continue;
             }
-            let placed = self.place_step(book, job, &waiting, &indices, now);
-            if placed.len() < indices.len() {
-                let rest = &indices[placed.len()..];
-                self.make_room(book, job, &waiting, rest, now);
-            } else {
-                self.claims.remove(&waiting.first);
-            }
-            placements.extend(placed);
+            placements.extend(self.serve(book, job, &waiting, &indices, now));
         }
         if !placements.is_empty() {
             self.effects.push(order::Effect::Propose(command::Command::Place(placements)));
         }
     }
 
+    /// Places tasks of a step. Urgent ones get sound, fast workers, if need be at the expense of
+    /// lower work; others only where there is no such room.
+    fn serve(
+        &mut self,
+        book: &book::Book,
+        job: &job::Job,
+        waiting: &queue::Waiting,
+        indices: &[u32],
+        now: Moment,
+    ) -> Vec<command::Placement> {
+        let urgent = waiting.rank <= queue::URGENT;
+        let mut placed = self.place_step(book, job, waiting, indices, urgent, now);
+        let rest = &indices[placed.len()..];
+        if rest.is_empty() {
+            self.claims.remove(&waiting.first);
+            return placed;
+        }
+        if !urgent {
+            return placed;
+        }
+        let claimed = self.claims.contains_key(&waiting.first);
+        if !claimed && !self.make_room(book, job, waiting, rest, now) {
+            placed.extend(self.place_step(book, job, waiting, rest, false, now));
+        }
+        placed
+    }
+
     /// The tasks of a step that wait and have no run on its way.
     fn unplaced(&self, job: &job::Job, first: model::TaskKey) -> Vec<u32> {
         let busy: BTreeSet<u32> =
@@ -445,12 +567,14 @@
         job: &job::Job,
         waiting: &queue::Waiting,
         indices: &[u32],
+        choosy: bool,
         now: Moment,
     ) -> Vec<command::Placement> {
         let step = job.step(waiting.first.step);
-        let sites = self.sites(book, job, waiting.first, now);
-        let waited = time::Millis(now.wall.0.saturating_sub(waiting.since));
-        let choice = fit::choose(&sites, step, indices.len(), waited);
+        let ask = self.ask(book, job, waiting, now);
+        let mut sites = self.sites(ask, waiting.first, now);
+        sites.retain(|site| !(choosy && (site.slow || site.doubted)));
+        let choice = fit::choose(&sites, ask, indices.len());
         let mut placements = Vec::new();
         let number = next_run(job, waiting.first, indices);
         for (index, (host, life)) in indices.iter().zip(choice) {
@@ -470,15 +594,41 @@
         placements
     }
 
-    /// The workers that may take tasks of a step, less what is kept for others.
-    fn sites(
+    /// What a waiting step asks of workers.
+    fn ask<'a>(
         &self,
-        book: &book::Book,
-        job: &job::Job,
-        first: model::TaskKey,
+        book: &'a book::Book,
+        job: &'a job::Job,
+        waiting: &queue::Waiting,
         now: Moment,
-    ) -> Vec<fit::Site> {
-        let step = job.step(first.step);
+    ) -> fit::Ask<'a> {
+        let directory = book.directory.as_ref();
+        let queue = directory.and_then(|held| held.queue_at(&job.submission.place));
+        let pool = queue.map_or(&job.submission.pool, |queue| &queue.pool);
+        fit::Ask {
+            step: job.step(waiting.first.step),
+            pool,
+            urgent: waiting.rank <= queue::URGENT,
+            waited: time::Millis(now.wall.0.saturating_sub(waiting.since)),
+            crowded: self.is_crowded(pool),
+        }
+    }
+
+    /// Whether more than half of a pool's accelerators are taken.
+    fn is_crowded(&self, pool: &str) -> bool {
+        let (mut free, mut all) = (0, 0);
+        for worker in self.workers.values() {
+            let Some(said) = worker.said.as_ref().filter(|said| said.pool == pool) else {
+                continue;
+            };
+            all += said.capacity.accelerators;
+            free += worker.free().accelerators;
+        }
+        free * 2 < all
+    }
+
+    /// The workers that may take tasks of a step, less what is kept for others.
+    fn sites(&self, ask: fit::Ask<'_>, first: model::TaskKey, now: Moment) -> Vec<fit::Site> {
         let mut kept = fit::Kept::new();
         for (owner, claim) in &self.claims {
             if *owner == first {
@@ -489,11 +639,8 @@
                 *sum = sum.plus(*room);
             }
         }
-        let directory = book.directory.as_ref();
-        let queue = directory.and_then(|held| held.queue_at(&job.submission.place));
-        let pool = queue.map_or(&job.submission.pool, |queue| &queue.pool);
-        let mut sites = fit::sites(&self.workers, pool, step, &kept, now);
-        if step.spread > 0 {
+        let mut sites = fit::sites(&self.workers, &self.health, ask, &kept, now);
+        if ask.step.spread > 0 {
             for (_, run) in runs::of_step(&self.runs, first) {
                 let host = run.life.host;
                 if let Some(site) = sites.iter_mut().find(|site| site.host == host) {
@@ -504,7 +651,7 @@
         sites
     }
 
-    /// Stops lower work so that urgent tasks fit.
+    /// Stops lower work so that urgent tasks fit. False if that is not worth it, or not needed.
     fn make_room(
         &mut self,
         book: &book::Book,
@@ -512,19 +659,25 @@
         waiting: &queue::Waiting,
         rest: &[u32],
         now: Moment,
-    ) {
-        if waiting.rank > queue::URGENT || self.claims.contains_key(&waiting.first) {
-            return;
+    ) -> bool {
+        let late = now.wall.0 > waiting.objective && waiting.rank > queue::GUARANTEED;
+        if waiting.spent || late {
+            return false;
+        }
+        let ask = self.ask(book, job, waiting, now);
+        let sites = self.sites(ask, waiting.first, now);
+        let (runs, health, rank) = (&self.runs, &self.health, waiting.rank);
+        let view = reclaim::View { runs, health, rank, now };
+        let Some(plan) = reclaim::plan(&sites, view, ask, rest.len()) else { return false };
+        if !plan.waits {
+            return false;
         }
-        let step = job.step(waiting.first.step);
-        let sites = self.sites(book, job, waiting.first, now);
-        let planned = reclaim::plan(&sites, &self.runs, step, rest.len(), waiting.rank, now);
-        let Some(plan) = planned else { return };
         for key in &plan.victims {
             self.stop(book, *key, now);
         }
         let claim = Claim { kept: plan.kept, until: now.tick + KEPT };
         self.claims.insert(waiting.first, claim);
+        true
     }
 }
 
@@ -555,7 +708,8 @@
         ordered: now.tick,
         heard: now.tick,
         saved,
-        percent: 0,
+        pace: pace::Pace::new(step.estimate, now.tick),
+        learnt: false,
     }
 }
 
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -8,17 +8,23 @@
 //! - [`order`]: what agents report and are ordered
 //! - [`fleet`]: workers, their leases and what occupies them
 //! - [`runs`]: the runs that may be going on
+//! - [`pace`]: how a run gets on
+//! - [`health`]: how fast workers are, and which can be trusted
 //! - [`queue`]: which steps wait, and which of them goes first
 //! - [`fit`]: where the tasks of a step fit
 //! - [`reclaim`]: what to stop so that urgent work fits
+//! - [`record`]: what the log tells of the workers
 //! - [`lead`]: the rules that tie these together
 
 pub mod fit;
 pub mod fleet;
+pub mod health;
 pub mod lead;
 pub mod order;
+pub mod pace;
 pub mod queue;
 pub mod reclaim;
+pub mod record;
 pub mod runs;
 
 pub use lead::Dispatch;
--- a/src/core/dispatch/order.rs
+++ b/src/core/dispatch/order.rs
@@ -34,6 +34,9 @@
         pub worker: Option<Announced>,
         /// The last life that has left: nothing of it goes on.
         pub gone: Option<model::Life>,
+        /// How much longer a worker that leaves stays at least, in milliseconds; none where it does
+        /// not say.
+        pub stays: Option<u64>,
         /// Whether the lists are its answer, and not older than a second.
         pub current: bool,
         /// What runs there.
--- a/src/core/dispatch/reclaim.rs
+++ b/src/core/dispatch/reclaim.rs
@@ -1,45 +1,82 @@
 //! What to stop so that urgent work fits.
 //!
 //! Answers a fleet full of lower work when an urgent job arrives: each of its tasks takes the
-//! worker where the least unsaved work has to be stopped. Stopping one member of a gang stops all
-//! of it, and its room elsewhere is used as well. Tasks that last are never stopped for others.
+//! worker where the least unsaved work has to be stopped; a gang that is slowed across racks takes
+//! the cheapest rack. What ends by itself within the time that a stop takes is not stopped.
+//! Stopping one member of a gang stops all of it, and its room elsewhere is used as well. Tasks
+//! that last are never stopped for others.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use crate::core::dispatch::fit;
+use crate::core::dispatch::health;
 use crate::core::dispatch::order;
 use crate::core::dispatch::order::Room;
+use crate::core::dispatch::queue;
 use crate::core::dispatch::runs;
+use crate::core::time;
 use crate::core::workflow::model;
 
-/// How much work a stopped task with checkpoints loses at most, with its restore, in milliseconds.
-const SAVED_LOSS: u64 = 1100;
+/// How much work a stopped task with checkpoints loses, with its restore.
+const SAVED_LOSS: time::Millis = time::Millis(700);
+
+/// A run that ends within this time is waited for instead of stopped: a stop takes as long.
+const SOON: time::Millis = time::Millis(350);
+
+/// What a worker counts that is slower than others, or on which something has failed, in the unit
+/// of [`loss`]: as much as a task on all its accelerators loses in a second.
+const POOR: u64 = 64_000;
+
+/// The most work that may be thrown away for urgent work beyond a guarantee, as a share of that
+/// work itself, in percent.
+const WORTH_LOSS: u64 = 25;
 
 /// What to stop, and the room that is then to be kept.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Plan {
     /// The runs to stop.
     pub victims: BTreeSet<model::RunKey>,
     /// Room for the step, by host.
     pub kept: fit::Kept,
+    /// Whether the room is there only once something has ended.
+    pub waits: bool,
+    /// The work that is lost.
+    cost: u64,
 }
 
-/// Plans room for `count` tasks of a step at the expense of runs of a rank above `rank`. None if
-/// even that is not enough.
-pub fn plan(
-    sites: &[fit::Site],
-    runs: &runs::Runs,
-    step: &model::Step,
-    count: usize,
-    rank: u32,
-    now: order::Moment,
-) -> Option<Plan> {
-    let mut ground = Ground::new(sites, runs, rank, now);
-    let need = Room::of(step);
+/// What the choice depends on besides the sites.
+#[derive(Clone, Copy)]
+pub struct View<'a> {
+    /// The runs that may be going on.
+    pub runs: &'a runs::Runs,
+    /// How fast workers are.
+    pub health: &'a health::Health,
+    /// The rank of the step; only runs of a higher one are stopped.
+    pub rank: u32,
+    /// The time.
+    pub now: order::Moment,
+}
+
+/// Plans room for `count` tasks of a step at the expense of lower work. None if even that is not
+/// enough.
+pub fn plan(sites: &[fit::Site], view: View<'_>, ask: fit::Ask<'_>, count: usize) -> Option<Plan> {
+    let sites = fit::near(sites, ask);
+    let grounds = fit::grounds(&sites, ask, count);
+    let plans = grounds.iter().filter_map(|ground| plan_on(ground, view, ask, count));
+    let plan = plans.min_by_key(|plan| plan.cost)?;
+    let own = work(Room::of(ask.step), u64::from(ask.step.estimate)) * count as u64;
+    let worth = view.rank <= queue::GUARANTEED || plan.cost <= own * WORTH_LOSS / 100;
+    worth.then_some(plan)
+}
+
+fn plan_on(sites: &[fit::Site], view: View<'_>, ask: fit::Ask<'_>, count: usize) -> Option<Plan> {
+    let mut ground = Ground::new(sites, view);
+    let need = Room::of(ask.step);
     let mut plan = Plan::default();
     for _ in 0..count {
-        let host = ground.cheapest(need)?;
+        let (cost, host) = ground.cheapest(need)?;
+        plan.cost += cost;
         ground.clear(host, need, &mut plan.victims);
         let site = ground.sites.get_mut(&host)?;
         site.free = site.free.minus(need);
@@ -47,39 +84,54 @@
         let kept = plan.kept.entry(host).or_default();
         *kept = kept.plus(need);
     }
+    plan.waits = !plan.victims.is_empty();
+    plan.victims.retain(|key| view.runs.get(key).is_some_and(|run| !ends_soon(run, view)));
     Some(plan)
 }
 
+/// Something that may be stopped.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Stoppable {
+    cost: u64,
+    key: model::RunKey,
+}
+
 struct Ground<'a> {
     sites: BTreeMap<u32, fit::Site>,
     runs: &'a runs::Runs,
     /// What may be stopped on each host, the cheapest first.
-    stoppable: BTreeMap<u32, Vec<(u64, model::RunKey)>>,
+    stoppable: BTreeMap<u32, Vec<Stoppable>>,
 }
 
 impl<'a> Ground<'a> {
-    fn new(sites: &[fit::Site], runs: &'a runs::Runs, rank: u32, now: order::Moment) -> Self {
-        let mut stoppable: BTreeMap<u32, Vec<(u64, model::RunKey)>> = BTreeMap::new();
+    fn new(sites: &[fit::Site], view: View<'a>) -> Self {
+        let mut stoppable: BTreeMap<u32, Vec<Stoppable>> = BTreeMap::new();
         let held = [runs::State::Ordered, runs::State::Running];
-        for (key, run) in runs.iter() {
-            if run.rank <= rank || !held.contains(&run.state) {
+        for (key, run) in view.runs.iter() {
+            let stopping = run.state == runs::State::Stopping;
+            if !stopping && (run.rank <= view.rank || !held.contains(&run.state)) {
                 continue;
             }
-            let cost = gang_of(runs, *key).map(|(_, member)| loss(member, now)).sum();
-            stoppable.entry(run.life.host).or_default().push((cost, *key));
+            let free = stopping || ends_soon(run, view);
+            let cost = match free {
+                true => 0,
+                false => gang_of(view.runs, *key).map(|(_, member)| loss(member, view)).sum(),
+            };
+            stoppable.entry(run.life.host).or_default().push(Stoppable { cost, key: *key });
         }
         stoppable.values_mut().for_each(|list| list.sort());
         let sites = sites.iter().map(|site| (site.host, site.clone())).collect();
-        Self { sites, runs, stoppable }
+        Self { sites, runs: view.runs, stoppable }
     }
 
-    /// The host where the need can be met with the least loss.
-    fn cheapest(&self, need: Room) -> Option<u32> {
+    /// The host where the need can be met with the least loss, and that loss.
+    fn cheapest(&self, need: Room) -> Option<(u64, u32)> {
         let costs = self.sites.iter().filter_map(|(host, site)| {
             let (cost, _) = self.victims(*host, site, need)?;
-            Some((cost, site.free.accelerators, *host))
+            let poor = if site.slow || site.doubted { POOR } else { 0 };
+            Some((cost + poor, site.free.accelerators, *host))
         });
-        costs.min().map(|(_, _, host)| host)
+        costs.min().map(|(cost, _, host)| (cost, host))
     }
 
     fn victims(
@@ -92,13 +144,13 @@
             return None;
         }
         let (mut free, mut cost, mut victims) = (site.free, 0, Vec::new());
-        for (loss, key) in self.stoppable.get(&host).into_iter().flatten() {
+        for stoppable in self.stoppable.get(&host).into_iter().flatten() {
             if free.holds(need) {
                 break;
             }
-            free = free.plus(self.runs[key].room);
-            cost += loss;
-            victims.push(*key);
+            free = free.plus(self.runs[&stoppable.key].room);
+            cost += stoppable.cost;
+            victims.push(stoppable.key);
         }
         free.holds(need).then_some((cost, victims))
     }
@@ -115,7 +167,7 @@
                 }
                 let run = &self.runs[&member];
                 if let Some(list) = self.stoppable.get_mut(&run.life.host) {
-                    list.retain(|(_, listed)| *listed != member);
+                    list.retain(|listed| listed.key != member);
                 }
                 if let Some(site) = self.sites.get_mut(&run.life.host) {
                     site.free = site.free.plus(run.room);
@@ -135,10 +187,20 @@
     runs::of_step(runs, key.task).filter(move |(other, run)| falls(other) && run.is_held())
 }
 
-/// The work that stopping a run throws away, in accelerator or core milliseconds.
-fn loss(run: &runs::Run, now: order::Moment) -> u64 {
-    let age = (now.tick - run.since).0;
+fn ends_soon(run: &runs::Run, view: View<'_>) -> bool {
+    let speed = view.health.speed(run.life.host);
+    run.state == runs::State::Running && run.pace.remaining(view.now.tick, speed) <= SOON
+}
+
+/// The work that stopping a run throws away, in core milliseconds.
+fn loss(run: &runs::Run, view: View<'_>) -> u64 {
+    let age = view.now.tick - run.since;
     let lost = if run.saves { age.min(SAVED_LOSS) } else { age };
+    work(run.room, lost.0)
+}
+
+/// What is done in a room within some milliseconds, in core milliseconds.
+fn work(room: Room, millis: u64) -> u64 {
     // An accelerator is worth eight cores.
-    lost * u64::from(run.room.accelerators * 8 + run.room.cpu / 1000).max(1)
+    millis * u64::from(room.accelerators * 8 + room.cpu / 1000).max(1)
 }
--- /dev/null
+++ b/src/core/dispatch/record.rs
@@ -0,0 +1,87 @@
+//! What the log tells of the workers: how long runs took there, and how they ended.
+//!
+//! Every replica keeps it, so that a new leader knows the slow workers and those that fail. It is
+//! learnt again from the entries after a restart.
+
+use std::collections::BTreeMap;
+
+use crate::core::dispatch::health;
+use crate::core::time;
+use crate::core::workflow::book;
+use crate::core::workflow::command;
+use crate::core::workflow::model;
+
+/// The most runs whose start is remembered.
+const MAX_RUNS: usize = 65_536;
+
+/// A run that was placed.
+#[derive(Clone, Copy, Debug)]
+struct Placed {
+    host: u32,
+    /// In the log's time.
+    at: time::Wall,
+    /// Whether it does all of its task's work.
+    whole: bool,
+}
+
+/// What is learnt from the log.
+#[derive(Debug, Default)]
+pub struct Record {
+    health: health::Health,
+    placed: BTreeMap<model::RunKey, Placed>,
+}
+
+impl Record {
+    /// What is known of the workers.
+    pub fn health(&self) -> &health::Health {
+        &self.health
+    }
+
+    /// Takes note of a change of the book, at the log's time `at`.
+    pub fn event(
+        &mut self,
+        book: &book::Book,
+        event: &command::Event,
+        at: time::Wall,
+        now: time::Tick,
+    ) {
+        match event {
+            command::Event::Placed(key, life) if self.placed.len() < MAX_RUNS => {
+                let job = book.jobs.get(&key.task.job);
+                let task = job.and_then(|job| job.task(key.task));
+                let whole = task.is_some_and(|task| task.saved.is_empty());
+                self.placed.insert(*key, Placed { host: life.host, at, whole });
+            }
+            command::Event::Ended(key, how) => {
+                let Some(placed) = self.placed.remove(key) else { return };
+                self.ended(book, *key, *how, placed, at, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn ended(
+        &mut self,
+        book: &book::Book,
+        key: model::RunKey,
+        how: model::How,
+        placed: Placed,
+        at: time::Wall,
+        now: time::Tick,
+    ) {
+        let Some(job) = book.jobs.get(&key.task.job) else { return };
+        let step = job.step(key.task.step);
+        match how {
+            model::How::Done => {
+                self.health.succeeded(placed.host);
+                let took = (at - placed.at).0;
+                if placed.whole && !step.gang && took > 0 {
+                    let ratio = f64::from(step.estimate.max(1)) / took as f64;
+                    self.health.ran(placed.host, &job.submission.place, ratio);
+                }
+            }
+            model::How::Failed => self.health.failed(placed.host, key.task, now),
+            _ => {}
+        }
+    }
+}
--- a/src/core/dispatch/runs.rs
+++ b/src/core/dispatch/runs.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::core::dispatch::order::Room;
+use crate::core::dispatch::pace;
 use crate::core::time;
 use crate::core::workflow::model;
 use crate::macros;
@@ -46,8 +47,10 @@
     pub heard: time::Tick,
     /// Its last known checkpoint.
     pub saved: String,
-    /// How much of its work is done.
-    pub percent: u32,
+    /// How it gets on.
+    pub pace: pace::Pace,
+    /// Whether its pace has been learnt from.
+    pub learnt: bool,
 }
 
 impl Run {
--- a/src/core/workflow/book.rs
+++ b/src/core/workflow/book.rs
@@ -50,9 +50,9 @@
             }
             command::Command::End(endings) => {
                 for ending in endings {
-                    let key = ending.key();
+                    let (key, how) = (ending.key(), ending.how);
                     self.end(at, ending, events);
-                    events.push(command::Event::Ended(key));
+                    events.push(command::Event::Ended(key, how));
                 }
                 command::Outcome::Applied
             }
--- a/src/core/workflow/command.rs
+++ b/src/core/workflow/command.rs
@@ -102,7 +102,7 @@
         /// A run may not start: its job or task has moved on.
         Unplaced(model::RunKey),
         /// The book has taken note of the end of a run, or knew of it.
-        Ended(model::RunKey),
+        Ended(model::RunKey, model::How),
         /// A job has ended.
         Finished(ids::JobKey),
     }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -21,10 +21,10 @@
 use crate::wire::gate as wire;
 
 /// How often an idle session is checked.
-const PING: time::Duration = time::Duration::from_millis(1000);
+const PING: time::Duration = time::Duration::from_millis(500);
 
 /// How long the leader may be silent after it was asked something.
-const SILENCE: time::Duration = time::Duration::from_millis(1500);
+const SILENCE: time::Duration = time::Duration::from_millis(1000);
 
 /// The first and the longest pause between two searches for a leader.
 const SEEK_PAUSE: (time::Duration, time::Duration) =
--- a/src/runner/agent.rs
+++ b/src/runner/agent.rs
@@ -27,10 +27,10 @@
 use crate::wire::runner as wire;
 
 /// How often the leader hears of the worker when nothing changes.
-const REPORT: core_time::Millis = core_time::Millis(1000);
+const REPORT: core_time::Millis = core_time::Millis(500);
 
 /// How long a look at the worker waits for news, in milliseconds.
-const LOOK_WAIT: u64 = 1000;
+const LOOK_WAIT: u64 = 500;
 
 /// How long a worker may take to answer a look beyond the time that it waits.
 const LOOK_SLACK: time::Duration = time::Duration::from_millis(700);
@@ -42,7 +42,7 @@
 const CURRENT: core_time::Millis = core_time::Millis(2000);
 
 /// How long the leader may leave a report unanswered.
-const SILENCE: core_time::Millis = core_time::Millis(2500);
+const SILENCE: core_time::Millis = core_time::Millis(1500);
 
 /// The pause between two searches for a leader.
 const SEEK_PAUSE: time::Duration = time::Duration::from_millis(100);
@@ -54,6 +54,8 @@
 pub struct Beat {
     /// What it says; none when it has left.
     pub said: Option<order::Announced>,
+    /// How much longer it stays at least if it is leaving, where it says so.
+    pub stays: Option<core_time::Millis>,
     /// The life that it speaks for.
     pub life: model::Life,
     /// The way to call it.
@@ -125,6 +127,8 @@
 
 struct Worker {
     said: order::Announced,
+    /// Until when it stays at least, where it says so.
+    stays: Option<core_time::Tick>,
     backend: rc::Rc<dyn Backend>,
     seen: u64,
     /// The last listing and when it was asked for.
@@ -215,10 +219,12 @@
         if self.gone == Some(beat.life) {
             return;
         }
+        let stays = beat.stays.map(|stays| self.clock.tick() + stays);
         match &mut self.worker {
             Some(worker) if worker.said.life == said.life => {
                 let news = worker.said != said;
                 worker.said = said;
+                worker.stays = stays;
                 if news {
                     self.report();
                 }
@@ -229,6 +235,7 @@
                 self.hold.reborn();
                 self.worker = Some(Worker {
                     said,
+                    stays,
                     backend: beat.backend,
                     seen: 0,
                     listing: None,
@@ -470,6 +477,7 @@
             sequence,
             worker: worker.map(|worker| worker.said.clone()),
             gone: self.gone,
+            stays: worker.and_then(|worker| worker.stays).map(|stays| (stays - now).0),
             current: current.is_some(),
             running: current.map(|(held, _)| held.running.clone()).unwrap_or_default(),
             finished: current.map(|(held, _)| held.finished.clone()).unwrap_or_default(),
