--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -113,6 +113,12 @@
         self.http.addr()
     }
 
+    /// Whether this replica leads at this moment.
+    pub fn leads(&self) -> bool {
+        use machine::Log as _;
+        self.replica.leads()
+    }
+
     /// Resolves with the cause once the replica can't go on, such as a full disk or a failed sync.
     /// The process is to end then: nothing it holds can be trusted to be durable.
     pub async fn failed(&self) -> String {
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -14,7 +14,8 @@
 //! - [`fit`]: where the tasks of a step fit
 //! - [`reclaim`]: what to stop so that urgent work fits
 //! - [`record`]: what the log tells of the workers
-//! - [`lead`]: the rules that tie these together
+//! - [`lead`]: the leader's state, and changes of the book; its rules stand in `report` (what
+//!   agents say), `plan` (placing) and `relieve` (moving)
 
 pub mod fit;
 pub mod fleet;
@@ -22,9 +23,12 @@
 pub mod lead;
 pub mod order;
 pub mod pace;
+mod plan;
 pub mod queue;
 pub mod reclaim;
 pub mod record;
+mod relieve;
+mod report;
 pub mod runs;
 
 pub use lead::Dispatch;
--- /dev/null
+++ b/src/core/dispatch/plan.rs
@@ -0,0 +1,205 @@
+//! Placing what waits, in its order, and making room for urgent work.
+
+use std::collections::BTreeSet;
+
+use crate::core::dispatch::fit;
+use crate::core::dispatch::lead;
+use crate::core::dispatch::order;
+use crate::core::dispatch::order::Moment;
+use crate::core::dispatch::queue;
+use crate::core::dispatch::reclaim;
+use crate::core::dispatch::runs;
+use crate::core::time;
+use crate::core::workflow::book;
+use crate::core::workflow::command;
+use crate::core::workflow::job;
+use crate::core::workflow::model;
+
+/// How long room is kept for a step after others were stopped for it.
+const KEPT: time::Millis = time::Millis(1500);
+
+impl lead::Dispatch {
+    /// Places what waits, in its order, and makes room for urgent work.
+    pub(super) fn plan(&mut self, book: &book::Book, now: Moment) {
+        let mut placements = Vec::new();
+        for waiting in queue::waiting(book, now) {
+            let Some(job) = book.jobs.get(&waiting.first.job) else { continue };
+            let indices = self.unplaced(job, waiting.first);
+            let step = job.step(waiting.first.step);
+            if indices.is_empty() || (step.gang && indices.len() < step.count as usize) {
+                continue;
+            }
+            placements.extend(self.serve(book, job, &waiting, &indices, now));
+        }
+        if !placements.is_empty() {
+            self.effects.push(order::Effect::Propose(command::Command::Place(placements)));
+        }
+    }
+
+    /// Places tasks of a step. Urgent ones get sound, fast workers, if need be at the expense of
+    /// lower work; others only where there is no such room.
+    pub(super) fn serve(
+        &mut self,
+        book: &book::Book,
+        job: &job::Job,
+        waiting: &queue::Waiting,
+        indices: &[u32],
+        now: Moment,
+    ) -> Vec<command::Placement> {
+        let urgent = waiting.rank <= queue::URGENT;
+        let mut placed = self.place_step(book, job, waiting, indices, urgent, now);
+        let rest = &indices[placed.len()..];
+        if rest.is_empty() {
+            self.claims.remove(&waiting.first);
+            return placed;
+        }
+        if !urgent {
+            return placed;
+        }
+        let claimed = self.claims.contains_key(&waiting.first);
+        if !claimed && !self.make_room(book, job, waiting, rest, now) {
+            placed.extend(self.place_step(book, job, waiting, rest, false, now));
+        }
+        placed
+    }
+
+    /// The tasks of a step that wait and have no run on its way.
+    pub(super) fn unplaced(&self, job: &job::Job, first: model::TaskKey) -> Vec<u32> {
+        let busy: BTreeSet<u32> =
+            runs::of_step(&self.runs, first).map(|(key, _)| key.task.index).collect();
+        let occurrence = &job.occurrences[&first.occurrence];
+        let tasks = occurrence.steps[first.step as usize].iter().zip(0..);
+        let free = tasks
+            .filter(|(task, index)| task.place == job::Place::Waiting && !busy.contains(index));
+        free.map(|(_, index)| index).collect()
+    }
+
+    pub(super) fn place_step(
+        &mut self,
+        book: &book::Book,
+        job: &job::Job,
+        waiting: &queue::Waiting,
+        indices: &[u32],
+        choosy: bool,
+        now: Moment,
+    ) -> Vec<command::Placement> {
+        let step = job.step(waiting.first.step);
+        let ask = self.ask(book, job, waiting, now);
+        let mut sites = self.sites(ask, waiting.first, now);
+        sites.retain(|site| !(choosy && (site.slow || site.doubted)));
+        let choice = fit::choose(&sites, ask, indices.len());
+        let mut placements = Vec::new();
+        let number = next_run(job, waiting.first, indices);
+        for (index, (host, life)) in indices.iter().zip(choice) {
+            let task = model::TaskKey { index: *index, ..waiting.first };
+            let own = job.task(task).map_or(0, |task| task.run) + 1;
+            let run = if step.gang { number } else { own };
+            let key = model::RunKey { task, run };
+            let state = runs::State::Proposed;
+            let placed = lead::run_of(job, key, life, state, waiting.rank, now);
+            if let Some(worker) = self.workers.get_mut(&host) {
+                worker.taken.insert(key, placed.room);
+            }
+            self.runs.insert(key, placed);
+            let model::TaskKey { job, occurrence, step, index } = task;
+            placements.push(command::Placement { job: job.0, occurrence, step, index, run, life });
+        }
+        placements
+    }
+
+    /// What a waiting step asks of workers.
+    pub(super) fn ask<'a>(
+        &self,
+        book: &'a book::Book,
+        job: &'a job::Job,
+        waiting: &queue::Waiting,
+        now: Moment,
+    ) -> fit::Ask<'a> {
+        let directory = book.directory.as_ref();
+        let queue = directory.and_then(|held| held.queue_at(&job.submission.place));
+        let pool = queue.map_or(&job.submission.pool, |queue| &queue.pool);
+        fit::Ask {
+            step: job.step(waiting.first.step),
+            pool,
+            urgent: waiting.rank <= queue::URGENT,
+            waited: time::Millis(now.wall.0.saturating_sub(waiting.since)),
+            crowded: self.is_crowded(pool),
+        }
+    }
+
+    /// Whether more than half of a pool's accelerators are taken.
+    pub(super) fn is_crowded(&self, pool: &str) -> bool {
+        let (mut free, mut all) = (0, 0);
+        for worker in self.workers.values() {
+            let Some(said) = worker.said.as_ref().filter(|said| said.pool == pool) else {
+                continue;
+            };
+            all += said.capacity.accelerators;
+            free += worker.free().accelerators;
+        }
+        free * 2 < all
+    }
+
+    /// The workers that may take tasks of a step, less what is kept for others.
+    pub(super) fn sites(
+        &self,
+        ask: fit::Ask<'_>,
+        first: model::TaskKey,
+        now: Moment,
+    ) -> Vec<fit::Site> {
+        let mut kept = fit::Kept::new();
+        for (owner, claim) in &self.claims {
+            if *owner == first {
+                continue;
+            }
+            for (host, room) in &claim.kept {
+                let sum = kept.entry(*host).or_default();
+                *sum = sum.plus(*room);
+            }
+        }
+        let mut sites = fit::sites(&self.workers, &self.health, ask, &kept, now);
+        if ask.step.spread > 0 {
+            for (_, run) in runs::of_step(&self.runs, first) {
+                let host = run.life.host;
+                if let Some(site) = sites.iter_mut().find(|site| site.host == host) {
+                    site.spread = site.spread.saturating_sub(1);
+                }
+            }
+        }
+        sites
+    }
+
+    /// Stops lower work so that urgent tasks fit. False if that is not worth it, or not needed.
+    pub(super) fn make_room(
+        &mut self,
+        book: &book::Book,
+        job: &job::Job,
+        waiting: &queue::Waiting,
+        rest: &[u32],
+        now: Moment,
+    ) -> bool {
+        let late = now.wall.0 > waiting.objective && waiting.rank > queue::GUARANTEED;
+        if waiting.spent || late {
+            return false;
+        }
+        let ask = self.ask(book, job, waiting, now);
+        let sites = self.sites(ask, waiting.first, now);
+        let (runs, health, rank) = (&self.runs, &self.health, waiting.rank);
+        let view = reclaim::View { runs, health, rank, now };
+        let Some(plan) = reclaim::plan(&sites, view, ask, rest.len()) else { return false };
+        if !plan.waits {
+            return false;
+        }
+        for key in &plan.victims {
+            self.stop(book, *key, now);
+        }
+        let claim = lead::Claim { kept: plan.kept, until: now.tick + KEPT };
+        self.claims.insert(waiting.first, claim);
+        true
+    }
+}
+
+fn next_run(job: &job::Job, first: model::TaskKey, indices: &[u32]) -> u32 {
+    let task = |index: &u32| job.task(model::TaskKey { index: *index, ..first });
+    indices.iter().filter_map(task).map(|task| task.run).max().unwrap_or(0) + 1
+}
--- a/src/core/dispatch/reclaim.rs
+++ b/src/core/dispatch/reclaim.rs
@@ -66,7 +66,7 @@
     let plans = grounds.iter().filter_map(|ground| plan_on(ground, view, ask, count));
     let plan = plans.min_by_key(|plan| plan.cost)?;
     let own = work(Room::of(ask.step), u64::from(ask.step.estimate)) * count as u64;
-    let worth = view.rank <= queue::GUARANTEED || plan.cost <= own * WORTH_LOSS / 100;
+    let worth = view.rank == queue::GUARANTEED || plan.cost <= own * WORTH_LOSS / 100;
     worth.then_some(plan)
 }
 
--- /dev/null
+++ b/src/core/dispatch/relieve.rs
@@ -0,0 +1,92 @@
+//! Stopping what would get on better elsewhere.
+//!
+//! Answers workers on which tasks stand still, and workers that leave before their tasks can end.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::core::dispatch::lead;
+use crate::core::dispatch::order::Moment;
+use crate::core::dispatch::order::Room;
+use crate::core::dispatch::queue;
+use crate::core::dispatch::runs;
+use crate::core::time;
+use crate::core::workflow::book;
+use crate::core::workflow::job;
+use crate::core::workflow::model;
+
+/// How long before a worker leaves its tasks with checkpoints are stopped: a stop takes 400 ms, and
+/// its report has to arrive.
+const LAST_STOP: time::Millis = time::Millis(900);
+
+impl lead::Dispatch {
+    /// Stops what would get on better elsewhere: runs that stand still, and those that a leaving
+    /// worker can't end.
+    pub(super) fn relieve(&mut self, book: &book::Book, now: Moment) {
+        let still = self.still_hosts(now);
+        for host in &still {
+            self.health.pause(*host, now.tick);
+        }
+        let mut moved = Vec::new();
+        for (key, run) in &self.runs {
+            let Some(job) = book.jobs.get(&key.task.job) else { continue };
+            let step = job.step(key.task.step);
+            if run.state != runs::State::Running || step.lasting || step.fills {
+                continue;
+            }
+            let stuck = still.contains(&run.life.host) && self.is_still(run, now);
+            let doomed =
+                self.is_doomed(run, now) && (run.saves || self.fits_elsewhere(job, key, book, now));
+            if stuck || doomed {
+                moved.push(*key);
+            }
+        }
+        for key in moved {
+            self.stop(book, key, now);
+        }
+    }
+
+    pub(super) fn is_still(&self, run: &runs::Run, now: Moment) -> bool {
+        run.pace.is_still(now.tick, self.health.speed(run.life.host))
+    }
+
+    /// The hosts on which everything stands still.
+    pub(super) fn still_hosts(&self, now: Moment) -> BTreeSet<u32> {
+        let mut still: BTreeMap<u32, bool> = BTreeMap::new();
+        for run in self.runs.values().filter(|run| run.state == runs::State::Running) {
+            let so_far = still.entry(run.life.host).or_insert(true);
+            *so_far &= self.is_still(run, now);
+        }
+        still.into_iter().filter(|(_, still)| *still).map(|(host, _)| host).collect()
+    }
+
+    /// Whether a run's worker leaves before the run can end, and it is time to stop it.
+    pub(super) fn is_doomed(&self, run: &runs::Run, now: Moment) -> bool {
+        let worker = self.workers.get(&run.life.host);
+        let Some(stays) = worker.and_then(|worker| worker.stays) else { return false };
+        let left = stays - now.tick;
+        let remaining = run.pace.remaining(now.tick, self.health.speed(run.life.host));
+        remaining > left && (!run.saves || left <= LAST_STOP)
+    }
+
+    /// Whether a task could run elsewhere at once.
+    pub(super) fn fits_elsewhere(
+        &self,
+        job: &job::Job,
+        key: &model::RunKey,
+        book: &book::Book,
+        now: Moment,
+    ) -> bool {
+        let first = model::TaskKey { index: 0, ..key.task };
+        let waiting = queue::Waiting {
+            rank: queue::plain_rank(job),
+            spent: false,
+            objective: 0,
+            first,
+            since: now.wall.0,
+        };
+        let ask = self.ask(book, job, &waiting, now);
+        let need = Room::of(ask.step);
+        self.sites(ask, first, now).iter().any(|site| site.free.holds(need))
+    }
+}
--- /dev/null
+++ b/src/core/dispatch/report.rs
@@ -0,0 +1,197 @@
+//! What agents report, and what follows from it.
+
+use std::collections::BTreeSet;
+
+use crate::core::dispatch::lead;
+use crate::core::dispatch::order;
+use crate::core::dispatch::order::Moment;
+use crate::core::dispatch::runs;
+use crate::core::time;
+use crate::core::workflow::book;
+use crate::core::workflow::command;
+use crate::core::workflow::model;
+
+/// How long a run may be missing from its worker's lists before its order is sent again.
+const MISSING: time::Millis = time::Millis(1500);
+
+/// How long a worker that leaves stays if it does not say: as long as it has to be served.
+const STAYS: time::Millis = time::Millis(2000);
+
+impl lead::Dispatch {
+    /// Takes an agent's report.
+    pub fn report(&mut self, book: &book::Book, host: u32, report: order::Report, now: Moment) {
+        let Some(worker) = self.workers.get_mut(&host) else { return };
+        worker.current = report.current;
+        if let Some(gone) = report.gone.filter(|gone| worker.life == Some(*gone)) {
+            worker.life = None;
+            self.lose(gone, now);
+        }
+        let Some(worker) = self.workers.get_mut(&host) else { return };
+        let Some(said) = report.worker else {
+            worker.said = None;
+            return;
+        };
+        if worker.life.is_some_and(|life| life > said.life) {
+            return;
+        }
+        if worker.life != Some(said.life) {
+            let before = worker.life;
+            worker.reborn(&said);
+            if let Some(life) = before {
+                self.lose(life, now);
+            }
+        }
+        let Some(worker) = self.workers.get_mut(&host) else { return };
+        let life = said.life;
+        worker.stays = said.draining.then(|| now.tick + report.stays.map_or(STAYS, time::Millis));
+        worker.said = Some(said);
+        worker.current = report.current;
+        if !report.current {
+            return;
+        }
+        worker.granted(now.tick, self.lease);
+        let grant = order::Order::Grant { sequence: report.sequence, length: self.lease.0 };
+        self.effects.push(order::Effect::Order(host, grant));
+        let mut listed = BTreeSet::new();
+        self.running(book, host, life, report.running, &mut listed, now);
+        self.finished(book, host, life, report.finished, &mut listed, now);
+        self.chase(book, host, life, &listed, now);
+        self.tell_seen(host);
+    }
+
+    pub(super) fn running(
+        &mut self,
+        book: &book::Book,
+        host: u32,
+        life: model::Life,
+        running: Vec<order::Running>,
+        listed: &mut BTreeSet<model::RunKey>,
+        now: Moment,
+    ) {
+        let mut strangers = 0;
+        for entry in running {
+            let task = book.find_task(&entry.task);
+            let key = task.map(|task| model::RunKey { task, run: entry.run });
+            let known = key.and_then(|key| Some((key, self.runs.get_mut(&key)?)));
+            let Some((key, run)) = known.filter(|(_, run)| run.life == life) else {
+                strangers += 1;
+                let order = order::Order::Stop { life, task: entry.task, run: entry.run };
+                self.effects.push(order::Effect::Order(host, order));
+                continue;
+            };
+            listed.insert(key);
+            run.heard = now.tick;
+            run.pace.heard(now.tick, entry.percent);
+            if let Some(ratio) = run.pace.ratio().filter(|_| !run.learnt && !run.gang) {
+                run.learnt = true;
+                let place = book.jobs.get(&key.task.job).map(|job| &job.submission.place);
+                self.health.ran(host, place.map_or("", String::as_str), ratio);
+            }
+            if !entry.saved.is_empty() {
+                run.saved = entry.saved;
+            }
+            if run.state == runs::State::Ordered {
+                run.state = runs::State::Running;
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(&host) {
+            worker.strangers = strangers;
+        }
+    }
+
+    pub(super) fn finished(
+        &mut self,
+        book: &book::Book,
+        host: u32,
+        life: model::Life,
+        finished: Vec<order::Finished>,
+        listed: &mut BTreeSet<model::RunKey>,
+        now: Moment,
+    ) {
+        let mut endings = Vec::new();
+        let Some(worker) = self.workers.get_mut(&host) else { return };
+        for entry in finished {
+            let news = entry.number > worker.listed;
+            worker.listed = worker.listed.max(entry.number);
+            let Some(task) = book.find_task(&entry.task) else { continue };
+            let key = model::RunKey { task, run: entry.run };
+            worker.taken.remove(&key);
+            let Some(run) = self.runs.get_mut(&key).filter(|run| run.life == life) else {
+                continue;
+            };
+            listed.insert(key);
+            if !news && run.state == runs::State::Ending {
+                continue;
+            }
+            run.state = runs::State::Ending;
+            match entry.how {
+                model::How::Done => self.health.succeeded(host),
+                model::How::Failed => self.health.failed(host, key.task, now.tick),
+                _ => {}
+            }
+            worker.ending.insert(entry.number, key);
+            endings.push(command::Ending::new(key, entry.how, entry.saved));
+        }
+        self.propose_ends(endings);
+    }
+
+    /// Orders again what a worker's lists should show and don't.
+    pub(super) fn chase(
+        &mut self,
+        book: &book::Book,
+        host: u32,
+        life: model::Life,
+        listed: &BTreeSet<model::RunKey>,
+        now: Moment,
+    ) {
+        let due = |run: &runs::Run| {
+            let quiet = run.ordered.max(run.heard) + MISSING <= now.tick;
+            run.life == life && quiet && run.is_held() && run.state != runs::State::Proposed
+        };
+        let Some(worker) = self.workers.get(&host) else { return };
+        let missing = worker.taken.keys().filter(|key| !listed.contains(key));
+        let missing: Vec<_> =
+            missing.filter(|key| self.runs.get(key).is_some_and(due)).copied().collect();
+        for key in missing {
+            match self.runs[&key].state {
+                runs::State::Stopping => self.order_stop(book, key, now),
+                _ => self.order_start(book, key, now),
+            }
+        }
+    }
+
+    pub(super) fn tell_seen(&mut self, host: u32) {
+        let Some(worker) = self.workers.get_mut(&host) else { return };
+        let (Some(life), true) = (worker.life, worker.connected) else { return };
+        if let Some(number) = worker.take_seen() {
+            let order = order::Order::Seen { life, number };
+            self.effects.push(order::Effect::Order(host, order));
+        }
+    }
+
+    /// An agent has made sure that a run does not go on and never will.
+    pub fn closed(
+        &mut self,
+        book: &book::Book,
+        host: u32,
+        life: model::Life,
+        name: &model::TaskName,
+        run: u32,
+        now: Moment,
+    ) {
+        let Some(task) = book.find_task(name) else { return };
+        let key = model::RunKey { task, run };
+        let Some(known) = self.runs.get_mut(&key).filter(|run| run.life == life) else { return };
+        if let Some(worker) = self.workers.get_mut(&host) {
+            if known.state == runs::State::Ordered {
+                worker.refused(now.tick);
+            }
+            worker.taken.remove(&key);
+        }
+        if known.state != runs::State::Ending {
+            known.state = runs::State::Ending;
+            let saved = known.saved.clone();
+            self.propose_ends(vec![command::Ending::new(key, model::How::Refused, saved)]);
+        }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/dispatch.rs
@@ -0,0 +1,287 @@
+//! The leader's rules on workflows: orders, ends, leases and changes of leader.
+
+use hemlockcleat::core::dispatch::order;
+use hemlockcleat::core::workflow::command;
+use hemlockcleat::core::workflow::job;
+use hemlockcleat::core::workflow::model;
+
+use crate::support::flow;
+
+/// Past any lease that was granted now, with every margin.
+const PAST_LEASE: u64 = flow::LEASE * 2;
+
+fn name(id: &str, index: u32) -> model::TaskName {
+    model::TaskName { id: id.to_owned(), occurrence: 0, step: 0, index }
+}
+
+#[test]
+fn start_follows_its_placement() {
+    let mut world = flow::World::with_workers(1);
+    let job = world.submit(1, "aa", vec![flow::step(2, 1)]);
+    world.tick(1);
+    let starts = world.take_starts();
+    assert_eq!(starts, [(0, name("aa", 0), 1), (0, name("aa", 1), 1)]);
+    assert!(world.book.jobs[&job].has_runs(), "placed in the book before it is ordered");
+}
+
+#[test]
+fn steps_wait_for_those_before() {
+    let mut world = flow::World::with_workers(1);
+    let after = model::Step { after: vec![0], ..flow::step(1, 1) };
+    world.submit(1, "aa", vec![flow::step(1, 1), after]);
+    world.tick(1);
+    assert_eq!(world.take_starts().len(), 1);
+    let done = flow::finished(1, &name("aa", 0), 1, model::How::Done);
+    world.report(flow::worker(0, 1), &[], &[done]);
+    world.tick(1);
+    let starts = world.take_starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].1.step, 1);
+}
+
+#[test]
+fn occurrences_start_when_due() {
+    let mut world = flow::World::with_workers(1);
+    let schedule = Some(model::Schedule { first: 1000, interval: 500, times: 2 });
+    let steps = vec![flow::step(1, 1)];
+    let workflow = model::Workflow { spec: String::new(), steps, schedule };
+    world.submit_workflow(1, "aa", workflow);
+    world.tick(900);
+    assert_eq!(world.take_starts(), []);
+    world.tick(101);
+    assert_eq!(world.take_starts().len(), 1);
+    world.tick(500);
+    let starts = world.take_starts();
+    assert_eq!(starts.iter().map(|(_, task, _)| task.occurrence).collect::<Vec<_>>(), [1]);
+}
+
+#[test]
+fn end_is_acknowledged_once_it_is_in_the_book() {
+    let mut world = flow::World::with_workers(1);
+    let job = world.submit(1, "aa", vec![flow::step(1, 1)]);
+    world.tick(1);
+    world.orders.clear();
+    let done = flow::finished(1, &name("aa", 0), 1, model::How::Done);
+    world.report(flow::worker(0, 1), &[], &[done]);
+    let seen = order::Order::Seen { life: flow::life(0, 1), number: 1 };
+    assert!(world.orders.contains(&(0, seen)));
+    assert_eq!(world.book.jobs[&job].phase, job::Phase::Completed);
+}
+
+#[test]
+fn acknowledgement_is_repeated_in_a_new_session() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(1, 1)]);
+    world.tick(1);
+    let done = flow::finished(1, &name("aa", 0), 1, model::How::Done);
+    world.report(flow::worker(0, 1), &[], std::slice::from_ref(&done));
+    world.orders.clear();
+    world.connect(0);
+    world.report(flow::worker(0, 1), &[], &[done]);
+    let seen = order::Order::Seen { life: flow::life(0, 1), number: 1 };
+    assert!(world.orders.contains(&(0, seen)));
+}
+
+#[test]
+fn silent_worker_is_lost_only_after_its_lease() {
+    let mut world = flow::World::with_workers(2);
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    world.tick(1);
+    let (host, _, _) = world.take_starts()[0].clone();
+    world.dispatch.disconnected(host);
+    world.tick(flow::LEASE);
+    assert_eq!(world.take_starts(), [], "it may still run there");
+    world.now += PAST_LEASE;
+    let other = 1 - host;
+    world.report(flow::worker(other, 1), &[], &[]);
+    world.tick(1);
+    world.tick(1);
+    assert_eq!(world.take_starts(), [(other, name("aa", 0), 2)]);
+}
+
+#[test]
+fn another_life_loses_the_runs_of_the_one_before_at_once() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(1, 1)]);
+    world.tick(1);
+    world.take_starts();
+    world.report(flow::worker(0, 2), &[], &[]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), [(0, name("aa", 0), 2)]);
+}
+
+#[test]
+fn late_report_of_an_earlier_life_is_ignored() {
+    let mut world = flow::World::with_workers(1);
+    world.report(flow::worker(0, 2), &[], &[]);
+    world.submit(1, "aa", vec![flow::step(1, 1)]);
+    world.tick(1);
+    world.take_starts();
+    world.report(flow::worker(0, 1), &[], &[]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), []);
+}
+
+#[test]
+fn new_leader_adopts_what_runs() {
+    let mut world = flow::World::with_workers(1);
+    let job = world.submit(1, "aa", vec![flow::step(1, 1)]);
+    world.tick(1);
+    world.change_leader();
+    world.connect(0);
+    world.report(flow::worker(0, 1), &[(name("aa", 0), 1, 30)], &[]);
+    world.tick(1);
+    assert_eq!(world.take_stops(), []);
+    let done = flow::finished(1, &name("aa", 0), 1, model::How::Done);
+    world.report(flow::worker(0, 1), &[], &[done]);
+    assert_eq!(world.book.jobs[&job].phase, job::Phase::Completed);
+}
+
+#[test]
+fn new_leader_orders_again_what_is_missing() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(1, 1)]);
+    world.tick(1);
+    world.change_leader();
+    world.connect(0);
+    for _ in 0..4 {
+        world.now += 600;
+        world.report(flow::worker(0, 1), &[], &[]);
+    }
+    let starts = world.take_starts();
+    assert!(starts.contains(&(0, name("aa", 0), 1)), "the same run: {starts:?}");
+    assert!(starts.iter().all(|(_, _, run)| *run == 1));
+}
+
+#[test]
+fn new_leader_waits_for_leases_of_the_one_before() {
+    let mut world = flow::World::with_workers(2);
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    world.tick(1);
+    let (host, _, _) = world.take_starts()[0].clone();
+    let other = 1 - host;
+    world.change_leader();
+    world.connect(other);
+    for _ in 0..8 {
+        world.now += 1000;
+        world.report(flow::worker(other, 1), &[], &[]);
+        world.tick(1);
+    }
+    assert_eq!(world.take_starts(), [], "it may run for a whole lease");
+    for _ in 0..4 {
+        world.now += 1000;
+        world.report(flow::worker(other, 1), &[], &[]);
+        world.tick(1);
+    }
+    assert_eq!(world.take_starts(), [(other, name("aa", 0), 2)]);
+}
+
+#[test]
+fn unknown_run_is_stopped_and_its_worker_gets_no_more() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(1, 1)]);
+    let stranger = name("elsewhere", 0);
+    world.report(flow::worker(0, 1), &[(stranger.clone(), 4, 10)], &[]);
+    world.tick(1);
+    assert!(world.orders.iter().any(|(_, order)| {
+        matches!(order, order::Order::Stop { task, run: 4, .. } if *task == stranger)
+    }));
+    assert_eq!(world.take_starts(), []);
+}
+
+#[test]
+fn cancelled_runs_are_stopped() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(1, 1)]);
+    world.tick(1);
+    world.report(flow::worker(0, 1), &[(name("aa", 0), 1, 5)], &[]);
+    let place = flow::queue(1).place();
+    world.apply(command::Command::Cancel(place, "aa".to_owned()));
+    world.settle();
+    assert_eq!(world.take_stops(), [(0, name("aa", 0), 1)]);
+}
+
+#[test]
+fn broken_gang_is_stopped_and_starts_again_whole() {
+    let mut world = flow::World::with_workers(3);
+    world.submit(1, "aa", vec![flow::gang(3, 8)]);
+    world.tick(1);
+    let starts = world.take_starts();
+    assert_eq!(starts.len(), 3);
+    for (host, task, run) in &starts {
+        world.report(flow::worker(*host, 1), &[(task.clone(), *run, 5)], &[]);
+    }
+    let (host, task, _) = starts[0].clone();
+    let failed = flow::finished(1, &task, 1, model::How::Failed);
+    world.orders.clear();
+    world.report(flow::worker(host, 1), &[], &[failed]);
+    let mut stops = world.take_stops();
+    stops.sort();
+    let mut rest: Vec<_> = starts[1..].to_vec();
+    rest.sort();
+    assert_eq!(stops, rest);
+    world.tick(1);
+    assert_eq!(world.take_starts(), [], "not before the last member has ended");
+    for (host, task, run) in &starts[1..] {
+        let ended = flow::finished(1, task, *run, model::How::Broken);
+        world.report(flow::worker(*host, 1), &[], &[ended]);
+    }
+    world.tick(1);
+    let again = world.take_starts();
+    assert_eq!(again.len(), 3);
+    assert!(again.iter().all(|(_, _, run)| *run == 2));
+}
+
+#[test]
+fn refused_start_is_tried_elsewhere_under_another_number() {
+    let mut world = flow::World::with_workers(2);
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    world.tick(1);
+    let (host, task, run) = world.take_starts()[0].clone();
+    let now = flow::moment(world.now);
+    let book = world.book.clone();
+    world.dispatch.closed(&book, host, flow::life(host, 1), &task, run, now);
+    world.settle();
+    world.tick(1);
+    assert_eq!(world.take_starts(), [(1 - host, task, 2)]);
+}
+
+#[test]
+fn draining_worker_gets_nothing() {
+    let mut world = flow::World::with_workers(1);
+    world.report(order::Announced { draining: true, ..flow::worker(0, 1) }, &[], &[]);
+    world.submit(1, "aa", vec![flow::step(1, 1)]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), []);
+}
+
+#[test]
+fn worker_is_never_filled_beyond_its_capacity() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(5, 2)]);
+    world.tick(1);
+    assert_eq!(world.take_starts().len(), 4);
+    // What is being stopped still counts.
+    let place = flow::queue(1).place();
+    world.apply(command::Command::Cancel(place, "aa".to_owned()));
+    world.submit(1, "bb", vec![flow::step(1, 2)]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), []);
+}
+
+#[rstest::rstest]
+#[case::label(model::Step { constraint: Some("b".to_owned()), ..flow::step(1, 1) }, 0)]
+#[case::own_label(model::Step { constraint: Some("a".to_owned()), ..flow::step(1, 1) }, 1)]
+#[case::spread(model::Step { spread: 1, ..flow::step(3, 1) }, 2)]
+#[case::too_large(flow::step(1, 9), 0)]
+fn constraints_hold(#[case] step: model::Step, #[case] starts: usize) {
+    let mut world = flow::World::with_workers(2);
+    world.submit(1, "aa", vec![step]);
+    world.tick(10_000);
+    // The workers' leases have ended meanwhile; they report again.
+    for host in 0..2 {
+        world.report(flow::worker(host, 1), &[], &[]);
+    }
+    world.tick(1);
+    assert_eq!(world.take_starts().len(), starts);
+}
--- /dev/null
+++ b/tests/testsuite/dispatch_policy.rs
@@ -0,0 +1,205 @@
+//! Load patterns that decide where work goes, replayed without sockets.
+
+use hemlockcleat::core::dispatch::health;
+use hemlockcleat::core::dispatch::pace;
+use hemlockcleat::core::ids;
+use hemlockcleat::core::time;
+use hemlockcleat::core::workflow::model;
+
+use crate::support::flow;
+
+fn name(id: &str, index: u32) -> model::TaskName {
+    model::TaskName { id: id.to_owned(), occurrence: 0, step: 0, index }
+}
+
+fn task(job: u64, index: u32) -> model::TaskKey {
+    model::TaskKey { job: ids::JobKey(job), occurrence: 0, step: 0, index }
+}
+
+/// Fills every worker with one run of eight accelerators and reports them as running.
+fn filled(workers: u32, step: model::Step) -> flow::World {
+    let mut world = flow::World::with_workers(workers);
+    world.submit(2, "low", vec![model::Step { count: workers, accelerators: 8, ..step }]);
+    world.tick(1);
+    let starts = world.take_starts();
+    assert_eq!(starts.len(), workers as usize);
+    world.now += 1000;
+    for (host, task, run) in starts {
+        world.report(flow::worker(host, 1), &[(task, run, 10)], &[]);
+    }
+    world.orders.clear();
+    world
+}
+
+#[test]
+fn small_tasks_keep_whole_workers_free() {
+    let mut world = flow::World::with_workers(3);
+    world.submit(1, "aa", vec![flow::step(5, 1)]);
+    world.tick(1);
+    let hosts: std::collections::BTreeSet<_> =
+        world.take_starts().into_iter().map(|(host, _, _)| host).collect();
+    assert_eq!(hosts.len(), 1);
+}
+
+#[test]
+fn gang_stays_on_one_rack() {
+    // Rack r0 has hosts 0 to 2, rack r1 hosts 3 to 5; one of r0 is taken.
+    let mut world = flow::World::with_workers(6);
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    world.tick(1);
+    let taken = world.take_starts()[0].0;
+    world.submit(1, "bb", vec![flow::gang(3, 8)]);
+    world.tick(1);
+    let racks: std::collections::BTreeSet<_> =
+        world.take_starts().into_iter().map(|(host, _, _)| host / 3).collect();
+    assert_eq!(racks.into_iter().collect::<Vec<_>>(), [1 - taken / 3]);
+}
+
+#[test]
+fn gang_goes_over_racks_when_waiting_costs_more() {
+    let mut world = flow::World::with_workers(4);
+    world.submit(1, "aa", vec![flow::step(2, 8)]);
+    world.tick(1);
+    let taken: Vec<_> = world.take_starts().into_iter().map(|(host, _, _)| host).collect();
+    assert_eq!(taken, [0, 1], "a whole worker is left on each rack");
+    world.submit(1, "bb", vec![flow::gang(2, 8)]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), [], "it waits for a rack first");
+    let mut hosts = std::collections::BTreeSet::new();
+    for _ in 0..4 {
+        world.now += 500;
+        for host in 0..4 {
+            world.report(flow::worker(host, 1), &[], &[]);
+        }
+        world.tick(1);
+        let starts = world.take_starts().into_iter().filter(|(_, task, _)| task.id == "bb");
+        hosts.extend(starts.map(|(host, _, _)| host));
+    }
+    assert_eq!(hosts.into_iter().collect::<Vec<_>>(), [2, 3]);
+}
+
+#[test]
+fn guaranteed_work_displaces_lower_work() {
+    let mut world = filled(3, model::Step { checkpoints: true, ..flow::step(1, 8) });
+    // The account's guarantee is 16 accelerators.
+    world.submit(0, "hi", vec![flow::step(2, 8)]);
+    world.tick(1);
+    let stops = world.take_stops();
+    assert_eq!(stops.len(), 2, "{stops:?}");
+    for (number, (host, task, run)) in stops.iter().enumerate() {
+        let ended = flow::finished(1, task, *run, model::How::Stopped);
+        world.report(flow::worker(*host, 1), &[], &[ended]);
+        world.tick(1);
+        let starts = world.take_starts();
+        assert_eq!(starts.len(), 1, "after stop {number}: {starts:?}");
+        assert_eq!(starts[0].1.id, "hi", "the room is kept for what it was made for");
+    }
+}
+
+#[test]
+fn urgent_work_beyond_its_guarantee_throws_no_long_work_away() {
+    // Ten seconds of eight accelerators without a checkpoint are lost with each stop.
+    let mut world = filled(3, flow::step(1, 8));
+    world.now += 10_000;
+    for host in 0..3 {
+        let running: Vec<_> = world.dispatch.workers()[&host].taken.keys().copied().collect();
+        let running: Vec<_> =
+            running.iter().map(|key| (name("low", key.task.index), key.run, 20)).collect();
+        world.report(flow::worker(host, 1), &running, &[]);
+    }
+    world.orders.clear();
+    world.submit(0, "hi", vec![flow::step(3, 8)]);
+    world.tick(1);
+    assert_eq!(world.take_stops(), []);
+}
+
+#[test]
+fn lower_work_displaces_nothing() {
+    let mut world = filled(2, model::Step { checkpoints: true, ..flow::step(1, 8) });
+    world.submit(1, "mid", vec![flow::step(1, 8)]);
+    world.tick(1);
+    assert_eq!(world.take_stops(), []);
+}
+
+#[test]
+fn run_that_stands_still_is_moved() {
+    let mut world = flow::World::with_workers(2);
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    world.tick(1);
+    let (host, task, run) = world.take_starts()[0].clone();
+    for percent in [10, 20, 30, 30, 30, 30, 30, 30, 30, 30] {
+        world.now += 500;
+        world.report(flow::worker(host, 1), &[(task.clone(), run, percent)], &[]);
+        world.report(flow::worker(1 - host, 1), &[], &[]);
+        world.tick(1);
+    }
+    assert_eq!(world.take_stops().first(), Some(&(host, task, run)));
+}
+
+#[test]
+fn steady_run_is_left_alone() {
+    let mut world = flow::World::with_workers(2);
+    // Its estimate is 2 s; it takes fifty.
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    world.tick(1);
+    let (host, task, run) = world.take_starts()[0].clone();
+    for half_seconds in 1..90 {
+        world.now += 500;
+        world.report(flow::worker(host, 1), &[(task.clone(), run, half_seconds)], &[]);
+        world.tick(1);
+    }
+    assert_eq!(world.take_stops(), []);
+}
+
+#[test]
+fn worker_that_fails_everything_is_paused() {
+    let mut health = health::Health::default();
+    let now = time::Tick(1000);
+    assert!(health.is_trusted(1, now));
+    // Two tasks of one job are enough.
+    health.failed(1, task(7, 0), now);
+    health.failed(1, task(7, 1), now);
+    assert!(!health.is_trusted(1, now));
+    health.succeeded(1);
+    assert!(health.is_trusted(1, time::Tick(60_000)));
+}
+
+#[test]
+fn hopeless_job_is_held_against_one_worker_at_most() {
+    let mut health = health::Health::default();
+    let now = time::Tick(1000);
+    for host in 1..6 {
+        for index in 0..4 {
+            health.failed(host, task(7, index), now);
+        }
+    }
+    let paused = (1..6).filter(|host| !health.is_trusted(*host, now)).count();
+    assert_eq!(paused, 1);
+}
+
+#[test]
+fn slow_worker_is_known_after_a_few_runs() {
+    let mut health = health::Health::default();
+    // Callers of this queue guess twice what their tasks take; worker 4 has half the speed.
+    for _ in 0..4 {
+        for host in 1..=4 {
+            health.ran(host, "queue", if host == 4 { 0.9 } else { 2.0 });
+        }
+    }
+    let slow: Vec<_> = (1..=4).filter(|host| health.is_slow(*host)).collect();
+    assert_eq!(slow, [4]);
+}
+
+#[rstest::rstest]
+#[case::as_estimated(2000, &[(500, 25), (1000, 50)], 1000)]
+#[case::twice_as_long(2000, &[(1000, 25), (2000, 50)], 2000)]
+#[case::nothing_heard(2000, &[], 2000)]
+fn remaining_time(#[case] estimate: u32, #[case] heard: &[(u64, u32)], #[case] expected: u64) {
+    let mut pace = pace::Pace::new(estimate, time::Tick(0));
+    let mut now = 0;
+    for (at, percent) in heard {
+        now = *at;
+        pace.heard(time::Tick(now), *percent);
+    }
+    assert_eq!(pace.remaining(time::Tick(now), 1.0).0, expected);
+}
--- /dev/null
+++ b/tests/testsuite/runner.rs
@@ -0,0 +1,180 @@
+//! The agent beside a worker of workflows: its lease, and orders without an answer.
+
+use std::cell;
+use std::rc;
+
+use futures_util::future;
+use hemlockcleat::core::time;
+use hemlockcleat::core::workflow::model;
+use hemlockcleat::runner::backend;
+use hemlockcleat::runner::hold;
+use hemlockcleat::runner::launch;
+
+use crate::support;
+
+fn tick(millis: u64) -> time::Tick {
+    time::Tick(millis)
+}
+
+#[test]
+fn lease_counts_from_the_report() {
+    let mut hold = hold::Hold::default();
+    let sequence = hold.report(tick(1000));
+    hold.granted(sequence, time::Millis(9000));
+    assert!(hold.is_valid(tick(9999)));
+    assert!(!hold.is_valid(tick(10_000)));
+}
+
+#[rstest::rstest]
+#[case::unknown(false)]
+#[case::of_an_earlier_session(true)]
+fn grant_without_its_report_counts_nothing(#[case] ended: bool) {
+    let mut hold = hold::Hold::default();
+    let sequence = hold.report(tick(1000));
+    let granted = if ended {
+        hold.session_ended();
+        sequence
+    } else {
+        sequence + 1
+    };
+    hold.granted(granted, time::Millis(9000));
+    assert!(!hold.is_valid(tick(1001)));
+}
+
+#[test]
+fn grant_never_shortens_the_lease() {
+    let mut hold = hold::Hold::default();
+    let first = hold.report(tick(1000));
+    let second = hold.report(tick(1500));
+    hold.granted(second, time::Millis(9000));
+    hold.granted(first, time::Millis(9000));
+    assert!(hold.is_valid(tick(10_400)));
+}
+
+#[test]
+fn worker_stops_before_the_lease_ends_even_with_a_slow_clock() {
+    let mut hold = hold::Hold::default();
+    let sequence = hold.report(tick(0));
+    hold.granted(sequence, time::Millis(9000));
+    hold.clock(50_000, tick(100));
+    let until = hold.until().expect("a lease and a clock");
+    // By a clock that is 2% slow, this span of the worker's takes longer.
+    let real = (until - 50_000) as f64 / 0.98;
+    assert!(100.0 + real <= 9000.0, "{real}");
+    assert!(100.0 + real > 8900.0, "{real}");
+}
+
+#[test]
+fn another_life_has_another_clock() {
+    let mut hold = hold::Hold::default();
+    let sequence = hold.report(tick(0));
+    hold.granted(sequence, time::Millis(9000));
+    hold.clock(50_000, tick(100));
+    hold.reborn();
+    assert_eq!(hold.until(), None);
+}
+
+/// What a worker does with one call.
+#[derive(Clone, Copy)]
+enum Answer {
+    Running,
+    Refused,
+    Unwell,
+    Silent,
+}
+
+/// A worker that answers by a script and counts its calls.
+struct Scripted {
+    answers: cell::RefCell<Vec<Answer>>,
+    starts: cell::Cell<u32>,
+    stops: cell::Cell<u32>,
+    /// Stops that get no answer.
+    deaf: u32,
+}
+
+impl Scripted {
+    fn new(answers: &[Answer], deaf: u32) -> rc::Rc<Self> {
+        let mut answers = answers.to_vec();
+        answers.reverse();
+        let answers = cell::RefCell::new(answers);
+        rc::Rc::new(Self { answers, starts: Default::default(), stops: Default::default(), deaf })
+    }
+}
+
+impl backend::Backend for Scripted {
+    fn look(
+        &self,
+        _: backend::Look,
+    ) -> future::LocalBoxFuture<'static, Result<backend::Listing, backend::Unanswered>> {
+        Box::pin(future::pending())
+    }
+
+    fn start(
+        &self,
+        _: backend::Launch,
+    ) -> future::LocalBoxFuture<'static, Result<backend::Launched, backend::Unanswered>> {
+        self.starts.set(self.starts.get() + 1);
+        let answer = self.answers.borrow_mut().pop().unwrap_or(Answer::Silent);
+        Box::pin(future::ready(match answer {
+            Answer::Running => Ok(backend::Launched::Running),
+            Answer::Refused => Ok(backend::Launched::Refused("room".to_owned())),
+            Answer::Unwell => Ok(backend::Launched::Unwell),
+            Answer::Silent => Err(backend::Unanswered("lost".to_owned())),
+        }))
+    }
+
+    fn stop(
+        &self,
+        _: model::TaskName,
+        _: u32,
+        _: u64,
+    ) -> future::LocalBoxFuture<'static, Result<(), backend::Unanswered>> {
+        self.stops.set(self.stops.get() + 1);
+        let lost = self.stops.get() <= self.deaf;
+        Box::pin(future::ready(if lost {
+            Err(backend::Unanswered("lost".to_owned()))
+        } else {
+            Ok(())
+        }))
+    }
+}
+
+fn task() -> model::TaskName {
+    model::TaskName { id: "aa".to_owned(), occurrence: 0, step: 0, index: 0 }
+}
+
+fn a_launch() -> backend::Launch {
+    let (spec, saved) = (String::new(), String::new());
+    backend::Launch { task: task(), run: 1, spec, saved, fence: 1, until: 1000 }
+}
+
+#[rstest::rstest]
+#[case::at_once(&[Answer::Running], 1, true, false)]
+#[case::after_silence(&[Answer::Silent, Answer::Running], 2, true, false)]
+#[case::after_unwell(&[Answer::Unwell, Answer::Unwell, Answer::Running], 3, true, false)]
+#[case::refused(&[Answer::Refused], 1, false, false)]
+#[case::refused_after_silence(&[Answer::Silent, Answer::Refused], 2, false, true)]
+#[case::never_well(&[Answer::Unwell, Answer::Unwell, Answer::Unwell], 3, false, false)]
+#[case::never_answered(&[], 3, false, true)]
+fn start_ends_in_certainty_or_doubt(
+    #[case] answers: &[Answer],
+    #[case] calls: u32,
+    #[case] runs: bool,
+    #[case] doubt: bool,
+) {
+    let worker = Scripted::new(answers, 0);
+    let outcome = support::run(launch::start(worker.clone(), a_launch()));
+    assert_eq!(worker.starts.get(), calls);
+    match outcome {
+        launch::Outcome::Running => assert!(runs),
+        launch::Outcome::Failed(doubted, _) => assert_eq!((false, doubt), (runs, doubted)),
+    }
+}
+
+#[test]
+fn stop_is_ordered_until_it_is_answered() {
+    let worker = Scripted::new(&[], 4);
+    let order = launch::Stop { task: task(), run: 1, fence: 1 };
+    support::run(launch::stop(worker.clone(), order));
+    assert_eq!(worker.stops.get(), 5);
+}
--- /dev/null
+++ b/tests/testsuite/support/flow.rs
@@ -0,0 +1,253 @@
+//! Workflows, workers and a leader in memory, for tests of the book and the dispatcher.
+
+use hemlockcleat::core::dispatch;
+use hemlockcleat::core::dispatch::health;
+use hemlockcleat::core::dispatch::order;
+use hemlockcleat::core::ids;
+use hemlockcleat::core::time;
+use hemlockcleat::core::workflow::book;
+use hemlockcleat::core::workflow::command;
+use hemlockcleat::core::workflow::directory;
+use hemlockcleat::core::workflow::model;
+
+/// The host part of every queue's address.
+pub const HOST: &str = "queues.example";
+
+/// How long agents may hold their workers, in milliseconds.
+pub const LEASE: u64 = 9000;
+
+/// A queue of this rank, at `/pN/`, whose tasks may fail twice.
+pub fn queue(priority: u32) -> directory::Queue {
+    directory::Queue {
+        name: format!("p{priority}"),
+        host: HOST.to_owned(),
+        prefix: format!("/p{priority}/"),
+        pool: "pool".to_owned(),
+        priority,
+        attempts: 2,
+        stretch: 3000,
+        latency: 1000,
+        timeout: 3000,
+        open: false,
+    }
+}
+
+/// Three queues, one pool, and one account with a guarantee of 16 accelerators.
+pub fn directory(version: u64) -> directory::Directory {
+    directory::Directory {
+        version,
+        document: format!("version {version}").into_bytes(),
+        queues: (0..3).map(queue).collect(),
+        pools: vec![directory::Pool { name: "pool".to_owned(), guarded: true, standby: false }],
+        accounts: vec![directory::Account {
+            name: "couriers".to_owned(),
+            credentials: vec!["key".to_owned()],
+            guarantee: 16,
+        }],
+    }
+}
+
+/// A step of tasks with this many accelerators and an estimate of two seconds.
+pub fn step(count: u32, accelerators: u32) -> model::Step {
+    model::Step { count, accelerators, cpu: 1000, memory: 10, estimate: 2000, ..Default::default() }
+}
+
+pub fn gang(count: u32, accelerators: u32) -> model::Step {
+    model::Step { gang: true, one_rack: true, ..step(count, accelerators) }
+}
+
+pub fn life(host: u32, born: u64) -> model::Life {
+    model::Life { host, born }
+}
+
+/// A worker with 8 accelerators on a rack of three.
+pub fn worker(host: u32, born: u64) -> order::Announced {
+    let rack = format!("r{}", host / 3);
+    order::Announced {
+        life: life(host, born),
+        name: format!("w{host}"),
+        pool: "pool".to_owned(),
+        labels: vec!["a".to_owned(), rack.clone()],
+        rack,
+        capacity: order::Room { cpu: 32_000, memory: 1000, accelerators: 8 },
+        draining: false,
+    }
+}
+
+/// The book with a leader's dispatcher; proposals are applied at once and in order.
+pub struct World {
+    pub book: book::Book,
+    pub dispatch: dispatch::Dispatch,
+    /// Orders to agents since they were last taken.
+    pub orders: Vec<(u32, order::Order)>,
+    /// Milliseconds since the start.
+    pub now: u64,
+    index: u64,
+    reports: u64,
+}
+
+impl Default for World {
+    fn default() -> Self {
+        let mut world = Self {
+            book: book::Book::default(),
+            dispatch: lead(&book::Book::default(), 0),
+            orders: Vec::new(),
+            now: 0,
+            index: 0,
+            reports: 0,
+        };
+        world.apply(command::Command::Configure(directory(1)));
+        world
+    }
+}
+
+/// A new leader's dispatcher over a book.
+fn lead(book: &book::Book, now: u64) -> dispatch::Dispatch {
+    let lease = time::Millis(LEASE);
+    dispatch::Dispatch::new(book, health::Health::default(), lease, moment(now))
+}
+
+pub fn moment(now: u64) -> order::Moment {
+    order::Moment { tick: time::Tick(now), wall: time::Wall(now) }
+}
+
+impl World {
+    /// A world with workers on hosts 0 to `count` - 1, in racks of three.
+    pub fn with_workers(count: u32) -> Self {
+        let mut world = Self::default();
+        for host in 0..count {
+            world.connect(host);
+            world.report(worker(host, 1), &[], &[]);
+        }
+        world.orders.clear();
+        world
+    }
+
+    /// Another leader takes over; nothing of the old one's beliefs is left.
+    pub fn change_leader(&mut self) {
+        self.dispatch = lead(&self.book, self.now);
+        self.orders.clear();
+    }
+
+    pub fn connect(&mut self, host: u32) {
+        self.dispatch.connected(host, moment(self.now));
+    }
+
+    /// Applies a command as the next entry of the log.
+    pub fn apply(&mut self, command: command::Command) -> command::Outcome {
+        self.index += 1;
+        let mut events = Vec::new();
+        let index = ids::LogIndex(self.index);
+        let outcome = self.book.apply(index, time::Wall(self.now), command, &mut events);
+        for event in events {
+            self.dispatch.event(&self.book, &event, moment(self.now));
+        }
+        outcome
+    }
+
+    /// Submits a job to the queue of a rank and returns its key.
+    pub fn submit(&mut self, priority: u32, id: &str, steps: Vec<model::Step>) -> ids::JobKey {
+        let workflow = model::Workflow { spec: "spec".to_owned(), steps, schedule: None };
+        self.submit_workflow(priority, id, workflow)
+    }
+
+    pub fn submit_workflow(
+        &mut self,
+        priority: u32,
+        id: &str,
+        workflow: model::Workflow,
+    ) -> ids::JobKey {
+        let queue = queue(priority);
+        let submission = command::Submission {
+            place: queue.place(),
+            id: id.to_owned(),
+            account: "couriers".to_owned(),
+            pool: queue.pool,
+            priority,
+            attempts: queue.attempts,
+            workflow,
+        };
+        match self.apply(command::Command::Submit(submission)) {
+            command::Outcome::Accepted(key) => ids::JobKey(key),
+            other => panic!("not accepted: {other:?}"),
+        }
+    }
+
+    /// Reports a worker with what runs there (task and percent) and what has ended.
+    pub fn report(
+        &mut self,
+        said: order::Announced,
+        running: &[(model::TaskName, u32, u32)],
+        finished: &[order::Finished],
+    ) {
+        self.reports += 1;
+        let running = running.iter().map(|(task, run, percent)| order::Running {
+            task: task.clone(),
+            run: *run,
+            saved: String::new(),
+            percent: *percent,
+        });
+        let report = order::Report {
+            sequence: self.reports,
+            gone: None,
+            stays: None,
+            current: true,
+            running: running.collect(),
+            finished: finished.to_vec(),
+            worker: Some(said),
+        };
+        let host = report.worker.as_ref().map_or(0, |said| said.life.host);
+        self.dispatch.report(&self.book, host, report, moment(self.now));
+        self.settle();
+    }
+
+    /// Lets time pass and the leader decide.
+    pub fn tick(&mut self, millis: u64) {
+        self.now += millis;
+        self.dispatch.tick(&self.book, moment(self.now));
+        self.settle();
+    }
+
+    /// Applies what is proposed until nothing more is, and keeps the orders.
+    pub fn settle(&mut self) {
+        loop {
+            let effects = self.dispatch.take_effects();
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                match effect {
+                    order::Effect::Propose(command) => {
+                        self.apply(command);
+                    }
+                    order::Effect::Order(host, order) => self.orders.push((host, order)),
+                }
+            }
+        }
+    }
+
+    /// The starts ordered since they were last taken: host, task, run.
+    pub fn take_starts(&mut self) -> Vec<(u32, model::TaskName, u32)> {
+        let orders = std::mem::take(&mut self.orders);
+        let starts = orders.into_iter().filter_map(|(host, order)| match order {
+            order::Order::Start(start) => Some((host, start.task, start.run)),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    /// The stops ordered since orders were last taken: host, task, run.
+    pub fn take_stops(&mut self) -> Vec<(u32, model::TaskName, u32)> {
+        let orders = std::mem::take(&mut self.orders);
+        let stops = orders.into_iter().filter_map(|(host, order)| match order {
+            order::Order::Stop { task, run, .. } => Some((host, task, run)),
+            _ => None,
+        });
+        stops.collect()
+    }
+}
+
+/// The end of a run, as its worker lists it.
+pub fn finished(number: u64, task: &model::TaskName, run: u32, how: model::How) -> order::Finished {
+    order::Finished { number, task: task.clone(), run, how, saved: String::new() }
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -8,10 +8,12 @@
 pub mod daemon;
 pub mod deployment;
 pub mod fake_control;
+pub mod flow;
 pub mod http_client;
 pub mod ledger;
 pub mod plans;
 pub mod relay;
+pub mod worker;
 pub mod world;
 
 /// Runs a test body on the runtime that the daemons use.
--- /dev/null
+++ b/tests/testsuite/workflow.rs
@@ -0,0 +1,343 @@
+//! Workflows over real sockets: gates, control replicas, agents and workers in memory.
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::time;
+
+use hemlockcleat::control;
+use hemlockcleat::core::dispatch::order;
+use hemlockcleat::core::workflow::job;
+use hemlockcleat::core::workflow::model;
+use hemlockcleat::gate;
+use hemlockcleat::runner;
+use hemlockcleat::runner::agent;
+use hemlockcleat::settings;
+use hemlockcleat::wire::gate as wire;
+
+use crate::support;
+use crate::support::flow;
+use crate::support::worker;
+
+/// How long a condition may take to come true on a busy machine.
+const PATIENCE: time::Duration = time::Duration::from_secs(30);
+
+/// How long one task takes.
+const WORK: time::Duration = time::Duration::from_millis(300);
+
+/// How long agents may hold their workers, in milliseconds: short, so that losses show soon.
+const HOLD_MS: u64 = 2500;
+
+struct Site {
+    replicas: Vec<Option<control::Control>>,
+    settings: Vec<settings::control::Settings>,
+    link: rc::Rc<gate::Link>,
+    runners: Vec<runner::Runner>,
+    workers: Vec<rc::Rc<worker::Worker>>,
+    checker: rc::Rc<worker::Checker>,
+    _folder: tempfile::TempDir,
+}
+
+/// Addresses that were free a moment ago.
+fn free_addrs(count: usize) -> Vec<net::SocketAddr> {
+    let bind = |_| net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listeners: Vec<_> = (0..count).map(bind).collect();
+    listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect()
+}
+
+impl Site {
+    async fn start(replicas: usize, workers: u32) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let addrs = free_addrs(replicas * 2);
+        let peers: Vec<_> = (0..replicas)
+            .map(|n| serde_json::json!({ "replica": n + 1, "addr": addrs[n] }))
+            .collect();
+        let settings: Vec<settings::control::Settings> = (0..replicas)
+            .map(|n| {
+                let text = serde_json::json!({
+                    "replica": n + 1,
+                    "data_center": "dc",
+                    "data_folder": folder.path().join(n.to_string()),
+                    "listen": addrs[n],
+                    "http": addrs[replicas + n],
+                    "hold_ms": HOLD_MS,
+                    "peers": peers,
+                });
+                settings::parse(&text.to_string()).expect("sound settings")
+            })
+            .collect();
+        let mut running = Vec::new();
+        for settings in &settings {
+            running.push(Some(control::Control::start(settings.clone()).await.expect("starts")));
+        }
+        let seeds = addrs[..replicas].to_vec();
+        let link = gate::Link::start(seeds.clone(), 0);
+        let checker = rc::Rc::<worker::Checker>::default();
+        let mut site = Self {
+            replicas: running,
+            settings,
+            link,
+            runners: Vec::new(),
+            workers: Vec::new(),
+            checker,
+            _folder: folder,
+        };
+        for host in 0..workers {
+            site.runners.push(runner::Runner::start(seeds.clone(), 0, host));
+            site.workers.push(worker::Worker::new(host, 1, WORK, site.checker.clone()));
+            site.beat(host as usize).await;
+        }
+        site
+    }
+
+    /// The worker says that it is there.
+    async fn beat(&self, host: usize) {
+        let worker = &self.workers[host];
+        let said = order::Announced {
+            capacity: order::Room { cpu: 8000, memory: 1000, accelerators: 8 },
+            ..flow::worker(worker.host, worker.born)
+        };
+        let life = said.life;
+        let backend = rc::Rc::new(worker::Calls(worker.clone()));
+        self.runners[host].beat(agent::Beat { said: Some(said), stays: None, life, backend }).await;
+    }
+
+    async fn call(&self, call: wire::Call) -> wire::Reply {
+        self.link.call(call, PATIENCE).await.expect("a reply in time")
+    }
+
+    async fn configure(&self) {
+        let call = wire::Call::Configure(flow::directory(1));
+        assert_eq!(self.call(call).await, wire::Reply::Configured);
+    }
+
+    async fn submit(&self, priority: u32, id: &str, step: model::Step) {
+        let workflow =
+            model::Workflow { spec: "spec".to_owned(), steps: vec![step], schedule: None };
+        let call = wire::Call::Submit(address(priority, id), workflow);
+        assert_eq!(self.call(call).await, wire::Reply::Accepted);
+    }
+
+    /// Waits until a job has ended, and returns how.
+    async fn ended(&self, priority: u32, id: &str) -> job::Phase {
+        let give_up = time::Instant::now() + PATIENCE;
+        loop {
+            let reply = self.call(wire::Call::Show(address(priority, id))).await;
+            let wire::Reply::Job(phase) = reply else { panic!("{reply:?}") };
+            if !matches!(phase, job::Phase::Pending | job::Phase::Running) {
+                return phase;
+            }
+            assert!(time::Instant::now() < give_up, "{id} has not ended: {phase:?}");
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Stops the replica that leads and returns its position.
+    async fn stop_leader(&mut self) -> usize {
+        let leads = |replica: &Option<control::Control>| {
+            replica.as_ref().is_some_and(control::Control::leads)
+        };
+        let found = cell::Cell::new(None);
+        let give_up = time::Instant::now() + PATIENCE;
+        while found.get().is_none() {
+            found.set(self.replicas.iter().position(leads));
+            assert!(time::Instant::now() < give_up, "no leader");
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+        let position = found.get().expect("found");
+        self.replicas[position].take().expect("it runs").stop().await;
+        position
+    }
+
+    async fn start_replica(&mut self, position: usize) {
+        let settings = self.settings[position].clone();
+        self.replicas[position] = Some(control::Control::start(settings).await.expect("starts"));
+    }
+
+    async fn stop(self) {
+        for runner in &self.runners {
+            runner.stop().await;
+        }
+        self.link.stop().await;
+        for replica in self.replicas.into_iter().flatten() {
+            replica.stop().await;
+        }
+        assert_eq!(*self.checker.broken.borrow(), Vec::<String>::new());
+    }
+}
+
+fn address(priority: u32, id: &str) -> wire::Address {
+    wire::Address {
+        host: flow::HOST.to_owned(),
+        path: format!("/p{priority}/{id}"),
+        credential: Some("key".to_owned()),
+    }
+}
+
+#[test]
+fn job_runs_to_its_end() {
+    support::run(async {
+        let site = Site::start(1, 2).await;
+        assert_eq!(site.call(wire::Call::Configuration).await, wire::Reply::NoConfiguration);
+        site.configure().await;
+        let document = wire::Reply::Configuration(b"version 1".to_vec());
+        assert_eq!(site.call(wire::Call::Configuration).await, document);
+        let after = model::Step { after: vec![0], ..flow::step(2, 1) };
+        let steps = vec![flow::step(6, 1), after];
+        let workflow = model::Workflow { spec: String::new(), steps, schedule: None };
+        let call = wire::Call::Submit(address(1, "aa"), workflow);
+        assert_eq!(site.call(call.clone()).await, wire::Reply::Accepted);
+        assert_eq!(site.call(call).await, wire::Reply::Accepted, "sent again, one job");
+        assert_eq!(site.ended(1, "aa").await, job::Phase::Completed);
+        assert_eq!(site.checker.starts.get(), 8);
+        site.stop().await;
+    });
+}
+
+fn no_credential(address: &mut wire::Address) {
+    address.credential = None;
+}
+
+fn wrong_credential(address: &mut wire::Address) {
+    address.credential = Some("other".to_owned());
+}
+
+fn wrong_path(address: &mut wire::Address) {
+    address.path = "/elsewhere/aa".to_owned();
+}
+
+fn wrong_host(address: &mut wire::Address) {
+    address.host = "elsewhere.example".to_owned();
+}
+
+#[rstest::rstest]
+#[case::no_credential(no_credential, wire::Reply::NoCredential)]
+#[case::wrong_credential(wrong_credential, wire::Reply::NoCredential)]
+#[case::wrong_path(wrong_path, wire::Reply::NoQueue)]
+#[case::wrong_host(wrong_host, wire::Reply::NoQueue)]
+fn calls_are_refused(#[case] spoil: fn(&mut wire::Address), #[case] expected: wire::Reply) {
+    support::run(async {
+        let site = Site::start(1, 0).await;
+        site.configure().await;
+        let mut spoilt = address(1, "aa");
+        spoil(&mut spoilt);
+        let workflow =
+            model::Workflow { spec: String::new(), steps: vec![flow::step(1, 1)], schedule: None };
+        for call in [
+            wire::Call::Submit(spoilt.clone(), workflow),
+            wire::Call::Show(spoilt.clone()),
+            wire::Call::Cancel(spoilt),
+        ] {
+            assert_eq!(site.call(call).await, expected);
+        }
+        site.stop().await;
+    });
+}
+
+#[test]
+fn unknown_job_is_said_to_be_unknown() {
+    support::run(async {
+        let site = Site::start(1, 0).await;
+        site.configure().await;
+        assert_eq!(site.call(wire::Call::Show(address(1, "aa"))).await, wire::Reply::NoJob);
+        assert_eq!(site.call(wire::Call::Cancel(address(1, "aa"))).await, wire::Reply::NoJob);
+        site.submit(1, "aa", flow::step(1, 1)).await;
+        assert_eq!(site.call(wire::Call::Show(address(1, ""))).await, wire::Reply::Pending(1));
+        site.stop().await;
+    });
+}
+
+#[test]
+fn cancelled_job_stops() {
+    support::run(async {
+        let site = Site::start(1, 1).await;
+        site.configure().await;
+        site.submit(1, "aa", flow::step(1, 1)).await;
+        let cancel = wire::Call::Cancel(address(1, "aa"));
+        assert_eq!(site.call(cancel).await, wire::Reply::Cancelled);
+        assert_eq!(site.ended(1, "aa").await, job::Phase::Cancelled);
+        site.stop().await;
+    });
+}
+
+#[test]
+fn orders_without_answer_run_once() {
+    support::run(async {
+        let site = Site::start(1, 3).await;
+        for worker in &site.workers {
+            worker.late_every.set(3);
+        }
+        site.configure().await;
+        for number in 0..6 {
+            site.submit(1, &format!("job{number}"), flow::step(4, 1)).await;
+        }
+        for number in 0..6 {
+            let ended = site.ended(1, &format!("job{number}")).await;
+            assert_eq!(ended, job::Phase::Completed);
+        }
+        // What was held back may still be carried out.
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        site.stop().await;
+    });
+}
+
+#[test]
+fn leader_changes_while_tasks_run() {
+    support::run(async {
+        let mut site = Site::start(3, 3).await;
+        site.configure().await;
+        for round in 0..3 {
+            for number in 0..4 {
+                site.submit(1, &format!("r{round}n{number}"), flow::step(4, 1)).await;
+            }
+            let stopped = site.stop_leader().await;
+            for number in 0..4 {
+                let ended = site.ended(1, &format!("r{round}n{number}")).await;
+                assert_eq!(ended, job::Phase::Completed);
+            }
+            site.start_replica(stopped).await;
+        }
+        site.stop().await;
+    });
+}
+
+#[test]
+fn reborn_worker_runs_again_what_it_lost() {
+    support::run(async {
+        let mut site = Site::start(1, 1).await;
+        site.configure().await;
+        site.submit(1, "aa", flow::step(2, 1)).await;
+        let give_up = time::Instant::now() + PATIENCE;
+        while site.checker.starts.get() < 2 {
+            assert!(time::Instant::now() < give_up, "nothing has started");
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+        site.workers[0].crash();
+        site.workers[0] = worker::Worker::new(0, 2, WORK, site.checker.clone());
+        site.beat(0).await;
+        assert_eq!(site.ended(1, "aa").await, job::Phase::Completed);
+        assert!(site.checker.starts.get() >= 3);
+        site.stop().await;
+    });
+}
+
+#[test]
+fn restarted_agent_adopts_what_runs() {
+    support::run(async {
+        let mut site = Site::start(1, 1).await;
+        site.configure().await;
+        site.submit(1, "aa", flow::step(4, 1)).await;
+        let give_up = time::Instant::now() + PATIENCE;
+        while site.checker.starts.get() < 4 {
+            assert!(time::Instant::now() < give_up, "nothing has started");
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+        site.runners[0].stop().await;
+        let seeds = vec![site.settings[0].listen];
+        site.runners[0] = runner::Runner::start(seeds, 0, 0);
+        site.beat(0).await;
+        assert_eq!(site.ended(1, "aa").await, job::Phase::Completed);
+        assert_eq!(site.checker.starts.get(), 4, "nothing was started again");
+        site.stop().await;
+    });
+}
