Keep room for urgent and starved steps as it comes free

Change: independent tasks get as much room as is worth it, task by task; where stopping costs too much, room is kept as it comes free, for urgent steps at once and for the next rank after a second. A claim binds its own rank and lower ones.

--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -18,6 +18,12 @@
 /// How long room is kept for a step after others were stopped for it.
 const KEPT: time::Millis = time::Millis(1500);
 
+/// How long a step that is not urgent waits before room is kept for it.
+const STARVED: time::Millis = time::Millis(1000);
+
+/// The highest rank for which room is kept: the queues right behind the urgent ones.
+const KEPT_RANK: u32 = queue::URGENT + 1;
+
 impl lead::Dispatch {
     /// Places what waits, in its order, and makes room for urgent work.
     pub(super) fn plan(&mut self, book: &book::Book, now: Moment) {
@@ -53,13 +59,18 @@
             self.claims.remove(&waiting.first);
             return placed;
         }
-        if !urgent {
+        if self.claims.contains_key(&waiting.first) {
+            return placed;
+        }
+        if urgent && self.make_room(book, job, waiting, rest, now) {
             return placed;
         }
-        let claimed = self.claims.contains_key(&waiting.first);
-        if !claimed && !self.make_room(book, job, waiting, rest, now) {
+        if urgent {
             placed.extend(self.place_step(book, job, waiting, rest, false, now));
         }
+        if placed.len() < indices.len() {
+            self.keep_room(book, job, waiting, &indices[placed.len()..], now);
+        }
         placed
     }
 
@@ -85,7 +96,7 @@
     ) -> Vec<command::Placement> {
         let step = job.step(waiting.first.step);
         let ask = self.ask(book, job, waiting, now);
-        let mut sites = self.sites(ask, waiting.first, now);
+        let mut sites = self.sites(ask, waiting, now);
         sites.retain(|site| !(choosy && (site.slow || site.doubted)));
         let choice = fit::choose(&sites, ask, indices.len());
         let mut placements = Vec::new();
@@ -144,12 +155,12 @@
     pub(super) fn sites(
         &self,
         ask: fit::Ask<'_>,
-        first: model::TaskKey,
+        waiting: &queue::Waiting,
         now: Moment,
     ) -> Vec<fit::Site> {
         let mut kept = fit::Kept::new();
         for (owner, claim) in &self.claims {
-            if *owner == first {
+            if *owner == waiting.first || claim.rank > waiting.rank {
                 continue;
             }
             for (host, room) in &claim.kept {
@@ -159,7 +170,7 @@
         }
         let mut sites = fit::sites(&self.workers, &self.health, ask, &kept, now);
         if ask.step.spread > 0 {
-            for (_, run) in runs::of_step(&self.runs, first) {
+            for (_, run) in runs::of_step(&self.runs, waiting.first) {
                 let host = run.life.host;
                 if let Some(site) = sites.iter_mut().find(|site| site.host == host) {
                     site.spread = site.spread.saturating_sub(1);
@@ -183,7 +194,7 @@
             return false;
         }
         let ask = self.ask(book, job, waiting, now);
-        let sites = self.sites(ask, waiting.first, now);
+        let sites = self.sites(ask, waiting, now);
         let (runs, health, rank) = (&self.runs, &self.health, waiting.rank);
         let view = reclaim::View { runs, health, rank, now };
         let Some(plan) = reclaim::plan(&sites, view, ask, rest.len()) else { return false };
@@ -193,10 +204,36 @@
         for key in &plan.victims {
             self.stop(book, *key, now);
         }
-        let claim = lead::Claim { kept: plan.kept, until: now.tick + KEPT };
-        self.claims.insert(waiting.first, claim);
+        self.claim(waiting, plan.kept, now);
         true
     }
+
+    /// Keeps room as it comes free for a step that smaller or lower work would starve.
+    pub(super) fn keep_room(
+        &mut self,
+        book: &book::Book,
+        job: &job::Job,
+        waiting: &queue::Waiting,
+        rest: &[u32],
+        now: Moment,
+    ) {
+        let ask = self.ask(book, job, waiting, now);
+        let starved = waiting.rank <= queue::URGENT || ask.waited >= STARVED;
+        if waiting.rank > KEPT_RANK || !starved || !ask.crowded || waiting.spent {
+            return;
+        }
+        let sites = self.sites(ask, waiting, now);
+        let (runs, health, rank) = (&self.runs, &self.health, waiting.rank);
+        let view = reclaim::View { runs, health, rank, now };
+        if let Some(plan) = reclaim::wait(&sites, view, ask, rest.len()) {
+            self.claim(waiting, plan.kept, now);
+        }
+    }
+
+    fn claim(&mut self, waiting: &queue::Waiting, kept: fit::Kept, now: Moment) {
+        let claim = lead::Claim { kept, rank: waiting.rank, until: now.tick + KEPT };
+        self.claims.insert(waiting.first, claim);
+    }
 }
 
 fn next_run(job: &job::Job, first: model::TaskKey, indices: &[u32]) -> u32 {
--- a/src/core/dispatch/reclaim.rs
+++ b/src/core/dispatch/reclaim.rs
@@ -4,7 +4,8 @@
 //! worker where the least unsaved work has to be stopped; a gang that is slowed across racks takes
 //! the cheapest rack. What ends by itself within the time that a stop takes is not stopped.
 //! Stopping one member of a gang stops all of it, and its room elsewhere is used as well. Tasks
-//! that last are never stopped for others.
+//! that last are never stopped for others. Where stopping costs too much, room is kept as it comes
+//! free, so that large tasks are not starved by small ones that fill every gap.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -58,24 +59,63 @@
     pub now: order::Moment,
 }
 
-/// Plans room for `count` tasks of a step at the expense of lower work. None if even that is not
-/// enough.
+/// How room comes free.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// Lower work is stopped for it.
+    Stop,
+    /// Whatever runs there ends by itself.
+    Wait,
+}
+
+/// Plans room for tasks of a step at the expense of lower work: for all `count` of a gang, for as
+/// many as it is worth for others. None if there is no such room.
 pub fn plan(sites: &[fit::Site], view: View<'_>, ask: fit::Ask<'_>, count: usize) -> Option<Plan> {
+    let mut plan = best(sites, view, ask, count, Way::Stop)?;
+    plan.waits = !plan.victims.is_empty();
+    plan.victims.retain(|key| view.runs.get(key).is_some_and(|run| !ends_soon(run, view)));
+    Some(plan)
+}
+
+/// Plans where to keep room for tasks of a step as it comes free, so that smaller work does not
+/// take it up time and again.
+pub fn wait(sites: &[fit::Site], view: View<'_>, ask: fit::Ask<'_>, count: usize) -> Option<Plan> {
+    let plan = best(sites, view, ask, count, Way::Wait)?;
+    Some(Plan { victims: BTreeSet::new(), waits: true, ..plan })
+}
+
+fn best(
+    sites: &[fit::Site],
+    view: View<'_>,
+    ask: fit::Ask<'_>,
+    count: usize,
+    way: Way,
+) -> Option<Plan> {
     let sites = fit::near(sites, ask);
     let grounds = fit::grounds(&sites, ask, count);
-    let plans = grounds.iter().filter_map(|ground| plan_on(ground, view, ask, count));
-    let plan = plans.min_by_key(|plan| plan.cost)?;
-    let own = work(Room::of(ask.step), u64::from(ask.step.estimate)) * count as u64;
-    let worth = view.rank == queue::GUARANTEED || plan.cost <= own * WORTH_LOSS / 100;
-    worth.then_some(plan)
+    let plans = grounds.iter().filter_map(|ground| plan_on(ground, view, ask, count, way));
+    plans.min_by_key(|plan| plan.cost)
 }
 
-fn plan_on(sites: &[fit::Site], view: View<'_>, ask: fit::Ask<'_>, count: usize) -> Option<Plan> {
-    let mut ground = Ground::new(sites, view);
+fn plan_on(
+    sites: &[fit::Site],
+    view: View<'_>,
+    ask: fit::Ask<'_>,
+    count: usize,
+    way: Way,
+) -> Option<Plan> {
+    let mut ground = Ground::new(sites, view, way);
     let need = Room::of(ask.step);
+    let own = work(need, u64::from(ask.step.estimate));
+    let bounded = way == Way::Stop && view.rank > queue::GUARANTEED;
+    let limit = if bounded { own * WORTH_LOSS / 100 } else { u64::MAX };
     let mut plan = Plan::default();
-    for _ in 0..count {
-        let (cost, host) = ground.cheapest(need)?;
+    let mut planned = 0;
+    while planned < count {
+        let Some((cost, host)) = ground.cheapest(need).filter(|(cost, _)| *cost <= limit) else {
+            break;
+        };
+        planned += 1;
         plan.cost += cost;
         ground.clear(host, need, &mut plan.victims);
         let site = ground.sites.get_mut(&host)?;
@@ -84,9 +124,8 @@
         let kept = plan.kept.entry(host).or_default();
         *kept = kept.plus(need);
     }
-    plan.waits = !plan.victims.is_empty();
-    plan.victims.retain(|key| view.runs.get(key).is_some_and(|run| !ends_soon(run, view)));
-    Some(plan)
+    let enough = if ask.step.gang { planned == count } else { planned > 0 };
+    enough.then_some(plan)
 }
 
 /// Something that may be stopped.
@@ -104,18 +143,20 @@
 }
 
 impl<'a> Ground<'a> {
-    fn new(sites: &[fit::Site], view: View<'a>) -> Self {
+    fn new(sites: &[fit::Site], view: View<'a>, way: Way) -> Self {
         let mut stoppable: BTreeMap<u32, Vec<Stoppable>> = BTreeMap::new();
         let held = [runs::State::Ordered, runs::State::Running];
         for (key, run) in view.runs.iter() {
             let stopping = run.state == runs::State::Stopping;
-            if !stopping && (run.rank <= view.rank || !held.contains(&run.state)) {
+            let spared = way == Way::Stop && run.rank <= view.rank;
+            if !stopping && (spared || !held.contains(&run.state)) {
                 continue;
             }
             let free = stopping || ends_soon(run, view);
-            let cost = match free {
-                true => 0,
-                false => gang_of(view.runs, *key).map(|(_, member)| loss(member, view)).sum(),
+            let cost = match way {
+                _ if free => 0,
+                Way::Stop => gang_of(view.runs, *key).map(|(_, member)| loss(member, view)).sum(),
+                Way::Wait => remaining(run, view).0,
             };
             stoppable.entry(run.life.host).or_default().push(Stoppable { cost, key: *key });
         }
@@ -187,9 +228,12 @@
     runs::of_step(runs, key.task).filter(move |(other, run)| falls(other) && run.is_held())
 }
 
+fn remaining(run: &runs::Run, view: View<'_>) -> time::Millis {
+    run.pace.remaining(view.now.tick, view.health.speed(run.life.host))
+}
+
 fn ends_soon(run: &runs::Run, view: View<'_>) -> bool {
-    let speed = view.health.speed(run.life.host);
-    run.state == runs::State::Running && run.pace.remaining(view.now.tick, speed) <= SOON
+    run.state == runs::State::Running && remaining(run, view) <= SOON
 }
 
 /// The work that stopping a run throws away, in core milliseconds.
--- a/src/core/dispatch/relieve.rs
+++ b/src/core/dispatch/relieve.rs
@@ -87,6 +87,6 @@
         };
         let ask = self.ask(book, job, &waiting, now);
         let need = Room::of(ask.step);
-        self.sites(ask, first, now).iter().any(|site| site.free.holds(need))
+        self.sites(ask, &waiting, now).iter().any(|site| site.free.holds(need))
     }
 }
