--- a/src/control/dispatch_loop.rs
+++ b/src/control/dispatch_loop.rs
@@ -11,6 +11,7 @@
 use crate::core::dispatch::order;
 use crate::core::ledger::command;
 use crate::core::workflow;
+use crate::core::workflow::model;
 use crate::telemetry::event;
 use crate::wire::runner;
 
@@ -81,6 +82,13 @@
                 }
             }));
         }
+        order::Effect::Stopping(key, why) => {
+            let model::TaskKey { job, occurrence, step, index } = key.task;
+            event::control::RUN_STOPPING.log(format_args!(
+                "job={job} occurrence={occurrence} step={step} index={index} run={} why={why:?}",
+                key.run
+            ));
+        }
         order::Effect::Order(host, order) => {
             let runners = proposer.shared.runners.borrow();
             let Some((_, sender)) = runners.get(&host) else { return };
--- a/src/core/dispatch/fit.rs
+++ b/src/core/dispatch/fit.rs
@@ -17,10 +17,10 @@
 use crate::core::workflow::model;
 
 /// How long a step waits at least for workers near its data, or a gang for one rack.
-const NEAR_PATIENCE: time::Millis = time::Millis(1200);
+const NEAR_PATIENCE: time::Millis = time::Millis(1500);
 
 /// How long it waits at most.
-const MAX_PATIENCE: time::Millis = time::Millis(6000);
+const MAX_PATIENCE: time::Millis = time::Millis(15_000);
 
 /// A worker that may take tasks of a step.
 #[derive(Clone, Debug)]
@@ -63,14 +63,13 @@
 }
 
 impl Ask<'_> {
-    /// How long it is worth waiting for workers on which the step runs at full speed: a third of
-    /// the time that it would take elsewhere is its own, so that two of its own are lost there.
+    /// How long it is worth waiting for workers on which the step runs at full speed: elsewhere it
+    /// would take twice its own time longer.
     fn patience(&self) -> time::Millis {
         if !self.crowded {
             return NEAR_PATIENCE;
         }
-        let estimate = time::Millis(u64::from(self.step.estimate));
-        estimate.clamp(NEAR_PATIENCE, MAX_PATIENCE)
+        time::Millis(u64::from(self.step.estimate) * 2).clamp(NEAR_PATIENCE, MAX_PATIENCE)
     }
 
     fn is_patient(&self) -> bool {
--- a/src/core/dispatch/lead.rs
+++ b/src/core/dispatch/lead.rs
@@ -36,6 +36,8 @@
     pub(super) health: health::Health,
     /// By the first task of the step.
     pub(super) claims: BTreeMap<model::TaskKey, Claim>,
+    /// Since when each step has tasks that wait, by its first task.
+    pub(super) idle: BTreeMap<model::TaskKey, time::Tick>,
     pub(super) effects: Vec<order::Effect>,
 }
 
@@ -55,6 +57,7 @@
             runs: BTreeMap::new(),
             health,
             claims: BTreeMap::new(),
+            idle: BTreeMap::new(),
             effects: Vec::new(),
         };
         for (key, job) in &book.jobs {
@@ -120,7 +123,7 @@
             }
             command::Event::Stopping(job) => {
                 for key in runs::of_job(&self.runs, *job) {
-                    self.stop(book, key, now);
+                    self.stop(book, key, order::Why::JobEnded, now);
                 }
             }
             command::Event::Ended(key, _) => self.ended(book, *key, now),
@@ -155,7 +158,7 @@
             let rest = runs::of_step(&self.runs, key.task).filter(|(k, _)| k.run == key.run);
             let rest: Vec<_> = rest.map(|(key, _)| *key).collect();
             for member in rest {
-                self.stop(book, member, now);
+                self.stop(book, member, order::Why::GangBroken, now);
             }
         }
     }
@@ -168,10 +171,17 @@
         Some(run)
     }
 
-    pub(super) fn stop(&mut self, book: &book::Book, key: model::RunKey, now: Moment) {
+    pub(super) fn stop(
+        &mut self,
+        book: &book::Book,
+        key: model::RunKey,
+        why: order::Why,
+        now: Moment,
+    ) {
         let Some(run) = self.runs.get_mut(&key) else { return };
         if matches!(run.state, runs::State::Ordered | runs::State::Running) {
             run.state = runs::State::Stopping;
+            self.effects.push(order::Effect::Stopping(key, why));
             self.order_stop(book, key, now);
         }
     }
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -35,5 +35,6 @@
 
 use crate::core::time;
 
-/// How long an agent may hold its worker after a report, unless the settings say otherwise.
-pub const LEASE: time::Millis = time::Millis::from_secs(9);
+/// How long an agent may hold its worker after a report, unless the settings say otherwise. Work
+/// outlasts cuts of six seconds; what a worker that is gone for good ran starts anew soon after.
+pub const LEASE: time::Millis = time::Millis(6500);
--- a/src/core/dispatch/order.rs
+++ b/src/core/dispatch/order.rs
@@ -124,6 +124,8 @@
         Propose(command::Command),
         /// Send an order to the agent on a host.
         Order(u32, Order),
+        /// Log why a run is to stop.
+        Stopping(model::RunKey, Why),
     }
 }
 
@@ -139,6 +141,20 @@
         pub accelerators: u32,
     }
 
+    /// Why a run is to stop.
+    pub enum Why {
+        /// Its job was cancelled or has failed.
+        JobEnded,
+        /// Another member of its gang has ended.
+        GangBroken,
+        /// Its room is needed for more urgent work.
+        Displaced,
+        /// It stands still.
+        Still,
+        /// Its worker leaves before it can end.
+        Leaving,
+    }
+
     /// The time of an input.
     pub struct Moment {
         /// On the steady clock.
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -1,5 +1,6 @@
 //! Placing what waits, in its order, and making room for urgent work.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use crate::core::dispatch::fit;
@@ -28,7 +29,11 @@
     /// Places what waits, in its order, and makes room for urgent work.
     pub(super) fn plan(&mut self, book: &book::Book, now: Moment) {
         let mut placements = Vec::new();
+        let mut idle = BTreeMap::new();
         for waiting in queue::waiting(book, now) {
+            let since = self.idle.get(&waiting.first).copied().unwrap_or(now.tick);
+            self.idle.insert(waiting.first, since);
+            idle.insert(waiting.first, since);
             let Some(job) = book.jobs.get(&waiting.first.job) else { continue };
             let indices = self.unplaced(job, waiting.first);
             let step = job.step(waiting.first.step);
@@ -37,6 +42,7 @@
             }
             placements.extend(self.serve(book, job, &waiting, &indices, now));
         }
+        self.idle = idle;
         if !placements.is_empty() {
             self.effects.push(order::Effect::Propose(command::Command::Place(placements)));
         }
@@ -133,7 +139,7 @@
             step: job.step(waiting.first.step),
             pool,
             urgent: waiting.rank <= queue::URGENT,
-            waited: time::Millis(now.wall.0.saturating_sub(waiting.since)),
+            waited: self.idle.get(&waiting.first).map_or(time::Millis(0), |idle| now.tick - *idle),
             crowded: self.is_crowded(pool),
         }
     }
@@ -202,7 +208,7 @@
             return false;
         }
         for key in &plan.victims {
-            self.stop(book, *key, now);
+            self.stop(book, *key, order::Why::Displaced, now);
         }
         self.claim(waiting, plan.kept, now);
         true
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -34,8 +34,6 @@
     pub objective: u64,
     /// The first of its tasks.
     pub first: model::TaskKey,
-    /// When it began to wait, in civil time; only as good as that.
-    pub since: u64,
 }
 
 /// The steps that are due and have tasks that wait, in the order in which they are to be served.
@@ -63,7 +61,6 @@
                     spent: now.wall.0 > since + span.0 * LAST_USE,
                     objective: since + span.0,
                     first,
-                    since,
                 });
             }
         }
--- a/src/core/dispatch/reclaim.rs
+++ b/src/core/dispatch/reclaim.rs
@@ -31,7 +31,7 @@
 
 /// The most work that may be thrown away for urgent work beyond a guarantee, as a share of that
 /// work itself, in percent.
-const WORTH_LOSS: u64 = 25;
+const WORTH_LOSS: u64 = 100;
 
 /// What to stop, and the room that is then to be kept.
 #[derive(Clone, Debug, Default)]
--- a/src/core/dispatch/relieve.rs
+++ b/src/core/dispatch/relieve.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 
 use crate::core::dispatch::lead;
+use crate::core::dispatch::order;
 use crate::core::dispatch::order::Moment;
 use crate::core::dispatch::order::Room;
 use crate::core::dispatch::queue;
@@ -38,11 +39,11 @@
             let doomed =
                 self.is_doomed(run, now) && (run.saves || self.fits_elsewhere(job, key, book, now));
             if stuck || doomed {
-                moved.push(*key);
+                moved.push((*key, if stuck { order::Why::Still } else { order::Why::Leaving }));
             }
         }
-        for key in moved {
-            self.stop(book, key, now);
+        for (key, why) in moved {
+            self.stop(book, key, why, now);
         }
     }
 
@@ -78,13 +79,8 @@
         now: Moment,
     ) -> bool {
         let first = model::TaskKey { index: 0, ..key.task };
-        let waiting = queue::Waiting {
-            rank: queue::plain_rank(job),
-            spent: false,
-            objective: 0,
-            first,
-            since: now.wall.0,
-        };
+        let waiting =
+            queue::Waiting { rank: queue::plain_rank(job), spent: false, objective: 0, first };
         let ask = self.ask(book, job, &waiting, now);
         let need = Room::of(ask.step);
         self.sites(ask, &waiting, now).iter().any(|site| site.free.holds(need))
--- a/src/telemetry/event/control.rs
+++ b/src/telemetry/event/control.rs
@@ -23,6 +23,7 @@
     PROPOSAL_LOST,
     ORDER_DROPPED,
     JOB_ENDED,
+    RUN_STOPPING,
 ];
 
 /// A committed entry can't be decoded; it was written by another version.
@@ -63,3 +64,5 @@
 pub const ORDER_DROPPED: Event = Event::new(217, log::Level::Warn, "order dropped");
 /// A workflow is completed, failed or cancelled.
 pub const JOB_ENDED: Event = Event::new(218, log::Level::Info, "job ended");
+/// A run of a task is to stop, and why.
+pub const RUN_STOPPING: Event = Event::new(219, log::Level::Info, "run to be stopped");
--- a/tests/testsuite/support/flow.rs
+++ b/tests/testsuite/support/flow.rs
@@ -221,6 +221,7 @@
                         self.apply(command);
                     }
                     order::Effect::Order(host, order) => self.orders.push((host, order)),
+                    order::Effect::Stopping(..) => {}
                 }
             }
         }
