Say what becomes of each call, and count it

Cause: an entry's answers left no line, so a refused call could not be told from one that never came; commit, sync and decision times had names but no callers; entries and agents on the platform served no metrics.

--- a/src/control/dispatch_loop.rs
+++ b/src/control/dispatch_loop.rs
@@ -13,6 +13,7 @@
 use crate::core::workflow;
 use crate::core::workflow::model;
 use crate::telemetry::event;
+use crate::telemetry::metrics as names;
 use crate::wire::runner;
 
 /// How often the leader looks at leases and at what waits, besides when something changes.
@@ -62,7 +63,9 @@
         let now = shared.moment();
         let mut dispatch = shared.dispatch.borrow_mut();
         let Some(dispatch) = dispatch.as_mut() else { continue };
+        let began = time::Instant::now();
         dispatch.tick(&shared.ledger.borrow().workflows, now);
+        names::observe(names::DECISION_SECONDS, began.elapsed());
         for effect in dispatch.take_effects() {
             carry_out(&proposer, effect, &mut pending);
         }
@@ -83,6 +86,7 @@
             }));
         }
         order::Effect::Stopping(key, why) => {
+            metrics::counter!(names::RUNS_STOPPED, "why" => format!("{why:?}")).increment(1);
             let model::TaskKey { job, occurrence, step, index } = key.task;
             event::control::RUN_STOPPING.log(format_args!(
                 "job={job} occurrence={occurrence} step={step} index={index} run={} why={why:?}",
--- a/src/control/machine_state.rs
+++ b/src/control/machine_state.rs
@@ -19,8 +19,10 @@
 use crate::core::time;
 use crate::core::workflow::book;
 use crate::core::workflow::command as workflow;
+use crate::core::workflow::model;
 use crate::net::stream;
 use crate::telemetry::event;
+use crate::telemetry::metrics as names;
 use crate::wire::codec;
 use crate::wire::command as wire_command;
 use crate::wire::runner;
@@ -136,8 +138,17 @@
 
 /// Logs what a change of the workflows means to their callers; only the leader does.
 fn log_change(book: &book::Book, change: &workflow::Event, now: dispatch::order::Moment) {
-    let workflow::Event::Finished(key) = change else { return };
+    let key = match change {
+        workflow::Event::Finished(key) => key,
+        workflow::Event::Placed(run, _) => return observe_wait(book, *run, now),
+        workflow::Event::Ended(_, how) => {
+            metrics::counter!(names::RUNS_ENDED, "how" => format!("{how:?}")).increment(1);
+            return;
+        }
+        _ => return,
+    };
     let Some(job) = book.jobs.get(key) else { return };
+    metrics::counter!(names::JOBS_ENDED, "phase" => format!("{:?}", job.phase)).increment(1);
     event::control::JOB_ENDED.log(format_args!(
         "job={key} id={} phase={:?} after_ms={}",
         job.submission.id,
@@ -146,6 +157,14 @@
     ));
 }
 
+/// Records how long a task waited for its first placement.
+fn observe_wait(book: &book::Book, run: model::RunKey, now: dispatch::order::Moment) {
+    let Some(job) = book.jobs.get(&run.task.job).filter(|_| run.run == 1) else { return };
+    let due = job.due(run.task.occurrence).max(job.accepted);
+    let waited = time::Millis(now.wall.0.saturating_sub(due));
+    names::observe(names::PLACE_SECONDS, waited.to_duration());
+}
+
 /// The machine.
 pub struct LedgerMachine {
     shared: rc::Rc<Shared>,
--- a/src/control/proposer.rs
+++ b/src/control/proposer.rs
@@ -9,6 +9,7 @@
 use crate::core::ledger::command;
 use crate::core::ledger::outcome;
 use crate::core::verdict;
+use crate::telemetry::metrics;
 use crate::wire::codec;
 use crate::wire::command as wire_command;
 
@@ -36,7 +37,9 @@
     ) -> Result<outcome::Outcome, machine::ProposeError> {
         let entry = command::Entry { at: self.shared.now().wall, command };
         let bytes = codec::encode(&wire_command::Entry::from(entry));
+        let began = time::Instant::now();
         let answer = self.log.propose(bytes).await?;
+        metrics::observe(metrics::COMMIT_SECONDS, began.elapsed());
         let decoded = codec::decode::<wire_command::Outcome>(&answer);
         let outcome = decoded.and_then(outcome::Outcome::try_from);
         Ok(outcome.unwrap_or(outcome::Outcome::Stale))
--- a/src/control/replica/writer.rs
+++ b/src/control/replica/writer.rs
@@ -2,12 +2,14 @@
 
 use std::sync::mpsc;
 use std::thread;
+use std::time;
 
 use bytes::Bytes;
 
 use crate::core::consensus::entry;
 use crate::store;
 use crate::store::folder;
+use crate::telemetry::metrics;
 
 /// What the writer is asked.
 enum Job {
@@ -114,7 +116,9 @@
 ) -> Result<(), store::Error> {
     let Some(last) = batches.last() else { return Ok(()) };
     let sequence = last.sequence;
+    let began = time::Instant::now();
     store.write(batches)?;
+    metrics::observe(metrics::SYNC_SECONDS, began.elapsed());
     batches.clear();
     let _ = done.send(Done::Persisted(sequence));
     Ok(())
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -3,6 +3,7 @@
 pub mod check_settings;
 pub mod daemon;
 pub mod demo;
+pub mod exposition;
 pub mod local;
 pub mod standin;
 pub mod store;
--- a/src/telemetry/event/entry.rs
+++ b/src/telemetry/event/entry.rs
@@ -12,6 +12,7 @@
     ANSWER_CUT,
     ACCESS_REFUSED,
     CONTROL_REPLY,
+    CALL_ANSWERED,
 ];
 
 /// The entry is connected to the leading control replica.
@@ -30,3 +31,5 @@
 pub const ACCESS_REFUSED: Event = Event::new(406, log::Level::Warn, "access refused");
 /// Control's reply does not fit the call.
 pub const CONTROL_REPLY: Event = Event::new(407, log::Level::Error, "reply does not fit");
+/// A call on a workflow was answered, and with what.
+pub const CALL_ANSWERED: Event = Event::new(408, log::Level::Info, "call answered");
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -48,6 +48,15 @@
 /// Attempts that ended at this agent, by `result`.
 pub const ATTEMPTS: &str = "hemlockcleat_attempts_total";
 
+/// Workflows that ended, by `phase`.
+pub const JOBS_ENDED: &str = "hemlockcleat_workflows_ended_total";
+/// Runs of tasks that ended, by `how`.
+pub const RUNS_ENDED: &str = "hemlockcleat_runs_ended_total";
+/// Runs of tasks that were ordered to stop, by `why`.
+pub const RUNS_STOPPED: &str = "hemlockcleat_runs_stopped_total";
+/// Time from a workflow's acceptance to the first placement of each of its tasks.
+pub const PLACE_SECONDS: &str = "hemlockcleat_task_wait_seconds";
+
 /// What a metric measures.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -76,6 +85,10 @@
 
 /// Every metric.
 pub const ALL: &[Metric] = &[
+    metric(JOBS_ENDED, Kind::Counter, "Workflows that ended, by phase"),
+    metric(RUNS_ENDED, Kind::Counter, "Runs of tasks that ended, by how"),
+    metric(RUNS_STOPPED, Kind::Counter, "Runs of tasks ordered to stop, by why"),
+    metric(PLACE_SECONDS, Kind::Histogram, "From acceptance to a task's first placement"),
     metric(REQUESTS, Kind::Counter, "Requests answered, by outcome"),
     metric(REQUEST_SECONDS, Kind::Histogram, "From a request's arrival to its answer"),
     metric(RESPONSES, Kind::Counter, "HTTP responses, by status"),
