Keep only the last rank to slow workers

Cause: work of the middle rank was put on workers of half the speed first, to keep the fast ones for urgent work; its gangs ran for twice as long. Change: only what gives way to all others keeps to slow workers.

--- a/src/core/dispatch/fit.rs
+++ b/src/core/dispatch/fit.rs
@@ -55,6 +55,8 @@
     pub pool: &'a str,
     /// Whether it is urgent.
     pub urgent: bool,
+    /// Whether it gives way to all others: it is to keep off the workers that they want.
+    pub last: bool,
     /// How long it has waited.
     pub waited: time::Millis,
     /// Whether more than half of the pool's accelerators are taken: with room to spare, waiting
@@ -195,7 +197,6 @@
 /// What speaks against a site, in the order in which it matters.
 fn cost(site: &Site, ask: Ask<'_>, need: Room) -> (bool, bool, u32, u32) {
     let left = site.free.minus(need);
-    // Work that can wait keeps off the workers that urgent work wants.
-    let unfit = site.slow == ask.urgent;
+    let unfit = if ask.last { !site.slow } else { site.slow && ask.urgent };
     (site.doubted, unfit, left.accelerators, left.cpu)
 }
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -139,6 +139,7 @@
             step: job.step(waiting.first.step),
             pool,
             urgent: waiting.rank <= queue::URGENT,
+            last: waiting.rank > KEPT_RANK,
             waited: self.idle.get(&waiting.first).map_or(time::Millis(0), |idle| now.tick - *idle),
             crowded: self.is_crowded(pool),
         }
