Leave half of a pool to others beside a long step

Change: a step whose tasks take 5 s or more holds at most half of a pool beyond its guarantee while other jobs wait, at 15 s or more at any time. Run keys print themselves; twins in the dispatcher are one.

--- a/src/control/dispatch_loop.rs
+++ b/src/control/dispatch_loop.rs
@@ -11,7 +11,6 @@
 use crate::core::dispatch::order;
 use crate::core::ledger::command;
 use crate::core::workflow;
-use crate::core::workflow::model;
 use crate::telemetry::event;
 use crate::telemetry::metrics as names;
 use crate::wire::runner;
@@ -87,11 +86,7 @@
         }
         order::Effect::Stopping(key, why) => {
             metrics::counter!(names::RUNS_STOPPED, "why" => format!("{why:?}")).increment(1);
-            let model::TaskKey { job, occurrence, step, index } = key.task;
-            event::control::RUN_STOPPING.log(format_args!(
-                "job={job} occurrence={occurrence} step={step} index={index} run={} why={why:?}",
-                key.run
-            ));
+            event::control::RUN_STOPPING.log(format_args!("{key} why={why:?}"));
         }
         order::Effect::Order(host, order) => {
             let runners = proposer.shared.runners.borrow();
@@ -109,12 +104,8 @@
         workflow::command::Command::Place(placements) => {
             for placement in placements {
                 event::control::TASK_PLACED.log(format_args!(
-                    "job={} occurrence={} step={} index={} run={} worker={}",
-                    placement.job,
-                    placement.occurrence,
-                    placement.step,
-                    placement.index,
-                    placement.run,
+                    "{} worker={}",
+                    placement.key(),
                     placement.life
                 ));
             }
@@ -122,12 +113,8 @@
         workflow::command::Command::End(endings) => {
             for ending in endings {
                 event::control::RUN_ENDED.log(format_args!(
-                    "job={} occurrence={} step={} index={} run={} how={:?}",
-                    ending.job,
-                    ending.occurrence,
-                    ending.step,
-                    ending.index,
-                    ending.run,
+                    "{} how={:?}",
+                    ending.key(),
                     ending.how
                 ));
             }
--- a/src/core/dispatch/lead.rs
+++ b/src/core/dispatch/lead.rs
@@ -219,7 +219,7 @@
                 let fresh = fleet::Worker::inherited(None, worker.until);
                 *worker = fleet::Worker { connected: worker.connected, ..fresh };
             }
-            self.lose(life, now);
+            self.lose(life);
         }
         self.claims.retain(|_, claim| claim.until > now.tick);
         self.relieve(book, now);
@@ -227,7 +227,7 @@
     }
 
     /// Everything of a life has certainly ended.
-    pub(super) fn lose(&mut self, life: model::Life, _now: Moment) {
+    pub(super) fn lose(&mut self, life: model::Life) {
         let lost = self.runs.iter().filter(|(_, run)| {
             let open = run.is_held() && run.state != runs::State::Proposed;
             run.life == life && open
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -22,6 +22,12 @@
 /// How long a step that is not urgent waits before room is kept for it.
 const STARVED: time::Millis = time::Millis(1000);
 
+/// From which estimate on a step counts as long: shorter ones free their room soon by themselves.
+const LONG: time::Millis = time::Millis(5000);
+
+/// The same for a step that waits alone: others come within a few seconds.
+const VERY_LONG: time::Millis = time::Millis(15_000);
+
 /// The highest rank for which room is kept: the queues right behind the urgent ones.
 const KEPT_RANK: u32 = queue::URGENT + 1;
 
@@ -30,7 +36,9 @@
     pub(super) fn plan(&mut self, book: &book::Book, now: Moment) {
         let mut placements = Vec::new();
         let mut idle = BTreeMap::new();
-        for waiting in queue::waiting(book, now) {
+        let queue = queue::waiting(book, now);
+        for waiting in &queue {
+            let waiting = *waiting;
             let since = self.idle.get(&waiting.first).copied().unwrap_or(now.tick);
             self.idle.insert(waiting.first, since);
             idle.insert(waiting.first, since);
@@ -40,7 +48,10 @@
             if indices.is_empty() || (step.gang && indices.len() < step.count as usize) {
                 continue;
             }
-            placements.extend(self.serve(book, job, &waiting, &indices, now));
+            let alone = queue.iter().all(|other| other.first.job == waiting.first.job);
+            let limit = self.share(book, job, &waiting, alone, now);
+            let fair = &indices[..limit.min(indices.len())];
+            placements.extend(self.serve(book, job, &waiting, fair, now));
         }
         self.idle = idle;
         if !placements.is_empty() {
@@ -48,6 +59,31 @@
         }
     }
 
+    /// How many more tasks of a step may start: long ones take no more than half of a pool beyond
+    /// their guarantee while other jobs wait, and very long ones at no time, since others will come.
+    pub(super) fn share(
+        &self,
+        book: &book::Book,
+        job: &job::Job,
+        waiting: &queue::Waiting,
+        alone: bool,
+        now: Moment,
+    ) -> usize {
+        let ask = self.ask(book, job, waiting, now);
+        let (step, need) = (ask.step, ask.step.accelerators);
+        let long = if alone { VERY_LONG } else { LONG };
+        let short = u64::from(step.estimate) < long.0;
+        if short || need == 0 || step.gang || waiting.rank == queue::GUARANTEED {
+            return usize::MAX;
+        }
+        let workers = self.workers.values().filter_map(|worker| worker.said.as_ref());
+        let workers = workers.filter(|said| said.pool == ask.pool);
+        let all: u32 = workers.map(|said| said.capacity.accelerators).sum();
+        let held = runs::of_step(&self.runs, waiting.first).filter(|(_, run)| run.is_held());
+        let held = held.count() as u32 * need;
+        ((all / 2).saturating_sub(held) / need) as usize
+    }
+
     /// Places tasks of a step. Urgent ones get sound, fast workers, if need be at the expense of
     /// lower work; others only where there is no such room.
     pub(super) fn serve(
@@ -202,8 +238,7 @@
         }
         let ask = self.ask(book, job, waiting, now);
         let sites = self.sites(ask, waiting, now);
-        let (runs, health, rank) = (&self.runs, &self.health, waiting.rank);
-        let view = reclaim::View { runs, health, rank, now };
+        let view = self.view(waiting.rank, now);
         let Some(plan) = reclaim::plan(&sites, view, ask, rest.len()) else { return false };
         if !plan.waits {
             return false;
@@ -230,13 +265,16 @@
             return;
         }
         let sites = self.sites(ask, waiting, now);
-        let (runs, health, rank) = (&self.runs, &self.health, waiting.rank);
-        let view = reclaim::View { runs, health, rank, now };
+        let view = self.view(waiting.rank, now);
         if let Some(plan) = reclaim::wait(&sites, view, ask, rest.len()) {
             self.claim(waiting, plan.kept, now);
         }
     }
 
+    fn view(&self, rank: u32, now: Moment) -> reclaim::View<'_> {
+        reclaim::View { runs: &self.runs, health: &self.health, rank, now }
+    }
+
     fn claim(&mut self, waiting: &queue::Waiting, kept: fit::Kept, now: Moment) {
         let claim = lead::Claim { kept, rank: waiting.rank, until: now.tick + KEPT };
         self.claims.insert(waiting.first, claim);
--- a/src/core/dispatch/report.rs
+++ b/src/core/dispatch/report.rs
@@ -24,7 +24,7 @@
         worker.current = report.current;
         if let Some(gone) = report.gone.filter(|gone| worker.life == Some(*gone)) {
             worker.life = None;
-            self.lose(gone, now);
+            self.lose(gone);
         }
         let Some(worker) = self.workers.get_mut(&host) else { return };
         let Some(said) = report.worker else {
@@ -38,7 +38,7 @@
             let before = worker.life;
             worker.reborn(&said);
             if let Some(life) = before {
-                self.lose(life, now);
+                self.lose(life);
             }
         }
         let Some(worker) = self.workers.get_mut(&host) else { return };
--- a/src/core/workflow/command.rs
+++ b/src/core/workflow/command.rs
@@ -111,13 +111,7 @@
 impl Placement {
     /// The run that is placed.
     pub fn key(&self) -> model::RunKey {
-        let task = model::TaskKey {
-            job: ids::JobKey(self.job),
-            occurrence: self.occurrence,
-            step: self.step,
-            index: self.index,
-        };
-        model::RunKey { task, run: self.run }
+        model::RunKey::of(self.job, self.occurrence, self.step, self.index, self.run)
     }
 }
 
@@ -130,12 +124,6 @@
 
     /// The run that ended.
     pub fn key(&self) -> model::RunKey {
-        let task = model::TaskKey {
-            job: ids::JobKey(self.job),
-            occurrence: self.occurrence,
-            step: self.step,
-            index: self.index,
-        };
-        model::RunKey { task, run: self.run }
+        model::RunKey::of(self.job, self.occurrence, self.step, self.index, self.run)
     }
 }
--- a/src/core/workflow/model.rs
+++ b/src/core/workflow/model.rs
@@ -198,6 +198,21 @@
     }
 }
 
+impl RunKey {
+    /// The run of these numbers, as commands carry them.
+    pub fn of(job: u64, occurrence: u32, step: u32, index: u32, run: u32) -> Self {
+        Self { task: TaskKey { job: ids::JobKey(job), occurrence, step, index }, run }
+    }
+}
+
+impl std::fmt::Display for RunKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let TaskKey { job, occurrence, step, index } = self.task;
+        let run = self.run;
+        write!(f, "job={job} occurrence={occurrence} step={step} index={index} run={run}")
+    }
+}
+
 impl std::fmt::Display for Life {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{}@{}", std::net::Ipv4Addr::from(self.host), self.born)
--- a/tests/testsuite/dispatch_policy.rs
+++ b/tests/testsuite/dispatch_policy.rs
@@ -203,3 +203,26 @@
     }
     assert_eq!(pace.remaining(time::Tick(now), 1.0).0, expected);
 }
+
+#[test]
+fn long_step_leaves_half_of_the_pool_to_others() {
+    let mut world = flow::World::with_workers(4);
+    let long = model::Step { estimate: 60_000, ..flow::step(6, 8) };
+    world.submit(0, "hog", vec![long]);
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    world.submit(1, "bb", vec![flow::step(1, 8)]);
+    world.tick(1);
+    let starts = world.take_starts();
+    let of = |id: &str| starts.iter().filter(|(_, task, _)| task.id == id).count();
+    assert_eq!((of("hog"), of("aa"), of("bb")), (2, 1, 1));
+}
+
+#[rstest::rstest]
+#[case::long(10_000, 4)]
+#[case::very_long(60_000, 2)]
+fn step_that_waits_alone(#[case] estimate: u32, #[case] starts: usize) {
+    let mut world = flow::World::with_workers(4);
+    world.submit(1, "hog", vec![model::Step { estimate, ..flow::step(6, 8) }]);
+    world.tick(1);
+    assert_eq!(world.take_starts().len(), starts);
+}
