Give each test's replicas a loopback host of their own

A node that stops closes its port and opens it again; in between, a connection or listener of another test may take it.

Only tests change.

--- a/tests/testsuite/replica_support.rs
+++ b/tests/testsuite/replica_support.rs
@@ -17,6 +17,7 @@
 use hemlockcleat::settings::control;
 
 use crate::store_disk;
+use crate::support;
 
 /// How long a condition may take to come true on a busy machine.
 const PATIENCE: time::Duration = time::Duration::from_secs(20);
@@ -182,7 +183,7 @@
 
     async fn make(&self, number: u64) -> Node {
         let slot = Slot::default();
-        let server = listen("127.0.0.1:0".parse().expect("an address"), slot.clone()).await;
+        let server = listen(net::SocketAddr::from((support::own_host(), 0)), slot.clone()).await;
         let addr = server.addr();
         let text = serde_json::json!({
             "replica": number,
--- a/tests/testsuite/workflow.rs
+++ b/tests/testsuite/workflow.rs
@@ -38,19 +38,16 @@
     _folder: tempfile::TempDir,
 }
 
-/// Addresses that were free a moment ago.
-fn free_addrs(count: usize) -> Vec<net::SocketAddr> {
-    let bind = |_| net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let listeners: Vec<_> = (0..count).map(bind).collect();
-    listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect()
-}
+/// The ports of a control replica, on a host of its own.
+const PORTS: (u16, u16) = (7000, 7002);
 
 impl Site {
     async fn start(replicas: usize, workers: u32) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let addrs = free_addrs(replicas * 2);
+        let hosts: Vec<_> = (0..replicas).map(|_| support::own_host()).collect();
+        let addr = |n: usize, port| net::SocketAddr::from((hosts[n], port));
         let peers: Vec<_> = (0..replicas)
-            .map(|n| serde_json::json!({ "replica": n + 1, "addr": addrs[n] }))
+            .map(|n| serde_json::json!({ "replica": n + 1, "addr": addr(n, PORTS.0) }))
             .collect();
         let settings: Vec<settings::control::Settings> = (0..replicas)
             .map(|n| {
@@ -58,8 +55,8 @@
                     "replica": n + 1,
                     "data_center": "dc",
                     "data_folder": folder.path().join(n.to_string()),
-                    "listen": addrs[n],
-                    "http": addrs[replicas + n],
+                    "listen": addr(n, PORTS.0),
+                    "http": addr(n, PORTS.1),
                     "hold_ms": HOLD_MS,
                     "peers": peers,
                 });
@@ -70,7 +67,7 @@
         for settings in &settings {
             running.push(Some(control::Control::start(settings.clone()).await.expect("starts")));
         }
-        let seeds = addrs[..replicas].to_vec();
+        let seeds: Vec<_> = (0..replicas).map(|n| addr(n, PORTS.0)).collect();
         let link = gate::Link::start(seeds.clone(), 0);
         let checker = rc::Rc::<worker::Checker>::default();
         let mut site = Self {
