Listen again on a closed port although a child process still holds it

Cause: replica::failing_disk_ends_the_replica, and now replica::second_process_on_a_folder_is_refused, failed with an address in use. The tests close a listener and open it again on the same port. While another test starts a daemon, its child holds a copy of every descriptor until it runs its program, so the closed listener lives on for some milliseconds.

Ruled out: connections of other tests on the same port. Each group already has a loopback host of its own, and a program that closes and opens listeners on hosts of their own failed 157 of 20000 times beside two threads that start processes, and 0 of 20000 times without them.

Change: the support code waits until the port is free, for this error only. hand_over_leaves_no_gap says which of its two conditions failed, and how long it took.

--- a/tests/testsuite/replica.rs
+++ b/tests/testsuite/replica.rs
@@ -118,8 +118,10 @@
         group.nodes[leader].replica().hand_over().await;
         assert!(!group.nodes[leader].replica().leads());
         let next = group.leader().await;
+        let took = started.elapsed();
+        assert_ne!(next, leader);
         // Far less than the shortest election timeout.
-        assert!(next != leader && started.elapsed() < consensus::ELECTION.to_duration() / 2);
+        assert!(took < consensus::ELECTION.to_duration() / 2, "{took:?}");
         let refused = group.nodes[leader].replica().propose(b"two".to_vec()).await;
         assert!(matches!(refused, Err(machine::ProposeError::NotLeader)));
         group.put(b"two").await;
--- a/tests/testsuite/replica_support.rs
+++ b/tests/testsuite/replica_support.rs
@@ -1,6 +1,7 @@
 //! A group of replicas over loopback, with a machine that remembers what it applied.
 
 use std::cell;
+use std::io;
 use std::net;
 use std::path;
 use std::rc;
@@ -119,8 +120,23 @@
     }
 }
 
+/// Listens on an address, also on one that was closed right before: a child process that another
+/// test is about to start holds a copy of the old listener until it runs its program.
 async fn listen(addr: net::SocketAddr, slot: Slot) -> stream::Server {
-    stream::Server::bind(addr, 64, rc::Rc::new(slot)).await.expect("a listener")
+    let give_up = time::Instant::now() + PATIENCE;
+    loop {
+        match stream::Server::bind(addr, 64, rc::Rc::new(slot.clone())).await {
+            Ok(server) => return server,
+            Err(error) if is_taken(&error) && time::Instant::now() < give_up => {
+                tokio::time::sleep(time::Duration::from_millis(2)).await;
+            }
+            Err(error) => panic!("no listener on {addr}: {error}"),
+        }
+    }
+}
+
+fn is_taken(error: &stream::Error) -> bool {
+    matches!(error, stream::Error::Io(error) if error.kind() == io::ErrorKind::AddrInUse)
 }
 
 /// A group of replicas.
