Keep what waits for a peer while the link to it opens

A replica that has just joined still dials the others when the leader hands over to it. Its requests for votes wait for the link and were dropped as soon as the link was open, so nobody led before an election timeout had passed, and the old leader could win.

Ruled out: slow syncs, since the failing runs took 430 ms to 670 ms in the new test on an idle machine, an election timeout and not a sync.

Change: the link sends what was queued while it opened.

Test: replica_cut::heir_that_still_dials_the_others_leads_in_time, 5 of 5 red before (433 ms to 673 ms, once with the old leader), 5 of 5 green after.

--- a/src/control/replica/peer.rs
+++ b/src/control/replica/peer.rs
@@ -192,7 +192,6 @@
             Ok(session) if entry::Identity::from(session.hello.id) == id => {
                 pause = BACK_OFF.0;
                 replaced.set(false);
-                while messages.try_recv().is_ok() {}
                 if !talk(&driver, session, &mut messages).await {
                     return;
                 }
