Leave a gang's members alone while they wait for its slowest

Cause: a member of a gang that has done all of its own work shows 100 percent until the rest have done theirs. After 2.5 s it was taken for stuck, its whole gang was stopped and begun anew, and its worker was paused. The same member also counted as ending soon, so that urgent work waited for its room instead of taking it.

Ruled out: late reports and processor time; the members' percents arrived every half second and grew evenly until 100.

Change: a member with nothing left to do stands still only if the whole gang is done; what is left of a gang is what is left of its slowest member. The members' paces are compared with one another, so that gangs, too, tell fast workers from slow ones, whatever their estimate was worth.

--- a/src/core/dispatch/health.rs
+++ b/src/core/dispatch/health.rs
@@ -75,6 +75,16 @@
     }
 }
 
+impl Worker {
+    /// Takes in evidence of its speed: how far it lies off, and the variance of that.
+    fn learn(&mut self, error: f64, noise: f64) {
+        let spread = self.spread + CHANGE;
+        let gain = spread / (spread + noise);
+        self.speed += gain * error;
+        self.spread = spread * (1.0 - gain);
+    }
+}
+
 /// What is known of all workers.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
@@ -98,11 +108,22 @@
         if known.runs > 1 {
             known.noise += weight * (error * error - known.noise);
         }
-        let noise = known.noise.max(LEAST_NOISE);
-        let spread = worker.spread + CHANGE;
-        let gain = spread / (spread + noise);
-        worker.speed += gain * error;
-        worker.spread = spread * (1.0 - gain);
+        worker.learn(error, known.noise.max(LEAST_NOISE));
+    }
+
+    /// Learns from the members of a gang: their speeds against one estimate. How wrong that is
+    /// does not matter, since it is the same for all of them.
+    pub fn ran_together(&mut self, ratios: &[(u32, f64)]) {
+        let seen: Vec<_> =
+            ratios.iter().map(|(host, ratio)| (*host, ratio.clamp(0.01, 100.0).ln())).collect();
+        let errors = seen
+            .iter()
+            .map(|(host, seen)| seen - self.workers.get(host).map_or(0.0, |worker| worker.speed));
+        let common = errors.sum::<f64>() / seen.len().max(1) as f64;
+        for (host, seen) in seen {
+            let worker = self.workers.entry(host).or_default();
+            worker.learn(seen - common - worker.speed, LEAST_NOISE);
+        }
     }
 
     /// A task was done there.
--- a/src/core/dispatch/pace.rs
+++ b/src/core/dispatch/pace.rs
@@ -8,6 +8,9 @@
 /// The least progress, in percent, from which a run's own pace is taken.
 const TELLING: u32 = 5;
 
+/// The progress of a run that has nothing left to do, in percent.
+const COMPLETE: u32 = 100;
+
 /// The least time without progress before a run counts as standing still. Workers are looked at
 /// twice a second.
 const STILL: time::Millis = time::Millis(1500);
@@ -29,12 +32,20 @@
     first: Option<(time::Tick, u32)>,
     /// The last progress, and when it was first heard of.
     last: (time::Tick, u32),
+    /// The last progress before all was done: when exactly that was reached is not known.
+    short: Option<(time::Tick, u32)>,
 }
 
 impl Pace {
     /// A run that is placed now.
     pub fn new(estimate: u32, now: time::Tick) -> Self {
-        Self { estimate: u64::from(estimate.max(1)), since: now, first: None, last: (now, 0) }
+        Self {
+            estimate: u64::from(estimate.max(1)),
+            since: now,
+            first: None,
+            last: (now, 0),
+            short: None,
+        }
     }
 
     /// Takes note of how much of its work is done, in percent.
@@ -44,13 +55,21 @@
         }
         if percent != self.last.1 {
             self.last = (now, percent);
+            if percent < COMPLETE {
+                self.short = Some(self.last);
+            }
         }
     }
 
+    /// Whether all of its own work is done.
+    pub fn is_complete(&self) -> bool {
+        self.last.1 >= COMPLETE
+    }
+
     /// The time that a percent of its work takes, once it has shown enough progress.
     fn own(&self) -> Option<f64> {
         let (began, from) = self.first?;
-        let (at, to) = self.last;
+        let (at, to) = self.short.filter(|short| short.1 >= from + TELLING).unwrap_or(self.last);
         let done = to.checked_sub(from).filter(|done| *done >= TELLING)?;
         Some((at - began).0 as f64 / f64::from(done))
     }
@@ -58,13 +77,14 @@
     /// Its speed against its estimate, once it has shown enough progress: 1 for just as estimated.
     pub fn ratio(&self) -> Option<f64> {
         let step = self.own().filter(|step| *step > 0.0)?;
-        Some(self.estimate as f64 / 100.0 / step)
+        Some(self.estimate as f64 / f64::from(COMPLETE) / step)
     }
 
     /// How long it will still take, on a worker of this speed.
     pub fn remaining(&self, now: time::Tick, speed: f64) -> time::Millis {
-        let step = self.own().unwrap_or(self.estimate as f64 / 100.0 / speed.max(0.01));
-        let left = step * f64::from(100 - self.last.1.min(100));
+        let step =
+            self.own().unwrap_or(self.estimate as f64 / f64::from(COMPLETE) / speed.max(0.01));
+        let left = step * f64::from(COMPLETE - self.last.1.min(COMPLETE));
         let since = (now - self.last.0).0 as f64;
         // A run that has outlived its estimate may take as long again as a part of its age.
         let least = (now - self.since).0 as f64 / 8.0;
@@ -73,7 +93,8 @@
 
     /// Whether it stands still.
     pub fn is_still(&self, now: time::Tick, speed: f64) -> bool {
-        let step = self.own().unwrap_or(self.estimate as f64 / 100.0 / speed.max(0.01));
+        let step =
+            self.own().unwrap_or(self.estimate as f64 / f64::from(COMPLETE) / speed.max(0.01));
         let quiet = (now - self.last.0).0;
         let patience = STILL.0.max((step * STILL_STEPS as f64) as u64);
         let warm = if self.first.is_none() { WARM_UP.0 } else { 0 };
--- a/src/core/dispatch/reclaim.rs
+++ b/src/core/dispatch/reclaim.rs
@@ -73,7 +73,7 @@
 pub fn plan(sites: &[fit::Site], view: View<'_>, ask: fit::Ask<'_>, count: usize) -> Option<Plan> {
     let mut plan = best(sites, view, ask, count, Way::Stop)?;
     plan.waits = !plan.victims.is_empty();
-    plan.victims.retain(|key| view.runs.get(key).is_some_and(|run| !ends_soon(run, view)));
+    plan.victims.retain(|key| view.runs.get(key).is_some_and(|run| !ends_soon(*key, run, view)));
     Some(plan)
 }
 
@@ -152,11 +152,13 @@
             if !stopping && (spared || !held.contains(&run.state)) {
                 continue;
             }
-            let free = stopping || ends_soon(run, view);
+            let free = stopping || ends_soon(*key, run, view);
             let cost = match way {
                 _ if free => 0,
-                Way::Stop => gang_of(view.runs, *key).map(|(_, member)| loss(member, view)).sum(),
-                Way::Wait => remaining(run, view).0,
+                Way::Stop => {
+                    runs::gang_of(view.runs, *key).map(|(_, member)| loss(member, view)).sum()
+                }
+                Way::Wait => remaining(*key, view).0,
             };
             stoppable.entry(run.life.host).or_default().push(Stoppable { cost, key: *key });
         }
@@ -201,7 +203,8 @@
         let site = &self.sites[&host];
         let Some((_, chosen)) = self.victims(host, site, need) else { return };
         for key in chosen {
-            let members: Vec<_> = gang_of(self.runs, key).map(|(member, _)| *member).collect();
+            let members: Vec<_> =
+                runs::gang_of(self.runs, key).map(|(member, _)| *member).collect();
             for member in members {
                 if !victims.insert(member) {
                     continue;
@@ -218,22 +221,12 @@
     }
 }
 
-/// The runs that a run falls with: its whole gang, or itself.
-fn gang_of(
-    runs: &runs::Runs,
-    key: model::RunKey,
-) -> impl Iterator<Item = (&model::RunKey, &runs::Run)> {
-    let gang = runs.get(&key).is_some_and(|run| run.gang);
-    let falls = move |other: &model::RunKey| *other == key || (gang && other.run == key.run);
-    runs::of_step(runs, key.task).filter(move |(other, run)| falls(other) && run.is_held())
-}
-
-fn remaining(run: &runs::Run, view: View<'_>) -> time::Millis {
-    run.pace.remaining(view.now.tick, view.health.speed(run.life.host))
+fn ends_soon(key: model::RunKey, run: &runs::Run, view: View<'_>) -> bool {
+    run.state == runs::State::Running && remaining(key, view) <= SOON
 }
 
-fn ends_soon(run: &runs::Run, view: View<'_>) -> bool {
-    run.state == runs::State::Running && remaining(run, view) <= SOON
+fn remaining(key: model::RunKey, view: View<'_>) -> time::Millis {
+    runs::remaining(view.runs, key, view.health, view.now.tick)
 }
 
 /// The work that stopping a run throws away, in core milliseconds.
--- a/src/core/dispatch/relieve.rs
+++ b/src/core/dispatch/relieve.rs
@@ -35,9 +35,9 @@
             if run.state != runs::State::Running || step.lasting || step.fills {
                 continue;
             }
-            let stuck = still.contains(&run.life.host) && self.is_still(run, now);
-            let doomed =
-                self.is_doomed(run, now) && (run.saves || self.fits_elsewhere(job, key, book, now));
+            let stuck = still.contains(&run.life.host) && self.is_still(*key, now);
+            let doomed = self.is_doomed(*key, run, now)
+                && (run.saves || self.fits_elsewhere(job, key, book, now));
             if stuck || doomed {
                 moved.push((*key, if stuck { order::Why::Still } else { order::Why::Leaving }));
             }
@@ -47,26 +47,26 @@
         }
     }
 
-    pub(super) fn is_still(&self, run: &runs::Run, now: Moment) -> bool {
-        run.pace.is_still(now.tick, self.health.speed(run.life.host))
+    fn is_still(&self, key: model::RunKey, now: Moment) -> bool {
+        runs::is_still(&self.runs, key, &self.health, now.tick)
     }
 
     /// The hosts on which everything stands still.
     pub(super) fn still_hosts(&self, now: Moment) -> BTreeSet<u32> {
         let mut still: BTreeMap<u32, bool> = BTreeMap::new();
-        for run in self.runs.values().filter(|run| run.state == runs::State::Running) {
+        for (key, run) in self.runs.iter().filter(|(_, run)| run.state == runs::State::Running) {
             let so_far = still.entry(run.life.host).or_insert(true);
-            *so_far &= self.is_still(run, now);
+            *so_far &= self.is_still(*key, now);
         }
         still.into_iter().filter(|(_, still)| *still).map(|(host, _)| host).collect()
     }
 
     /// Whether a run's worker leaves before the run can end, and it is time to stop it.
-    pub(super) fn is_doomed(&self, run: &runs::Run, now: Moment) -> bool {
+    fn is_doomed(&self, key: model::RunKey, run: &runs::Run, now: Moment) -> bool {
         let worker = self.workers.get(&run.life.host);
         let Some(stays) = worker.and_then(|worker| worker.stays) else { return false };
         let left = stays - now.tick;
-        let remaining = run.pace.remaining(now.tick, self.health.speed(run.life.host));
+        let remaining = runs::remaining(&self.runs, key, &self.health, now.tick);
         remaining > left && (!run.saves || left <= LAST_STOP)
     }
 
--- a/src/core/dispatch/report.rs
+++ b/src/core/dispatch/report.rs
@@ -82,23 +82,42 @@
             listed.insert(key);
             run.heard = now.tick;
             run.pace.heard(now.tick, entry.percent);
-            if let Some(ratio) = run.pace.ratio().filter(|_| !run.learnt && !run.gang) {
-                run.learnt = true;
-                let place = book.jobs.get(&key.task.job).map(|job| &job.submission.place);
-                self.health.ran(host, place.map_or("", String::as_str), ratio);
-            }
             if !entry.saved.is_empty() {
                 run.saved = entry.saved;
             }
             if run.state == runs::State::Ordered {
                 run.state = runs::State::Running;
             }
+            self.learn(book, key);
         }
         if let Some(worker) = self.workers.get_mut(&host) {
             worker.strangers = strangers;
         }
     }
 
+    /// Learns the speed of workers from a run, or from a whole gang, once it has shown enough
+    /// progress.
+    fn learn(&mut self, book: &book::Book, key: model::RunKey) {
+        let Some(run) = self.runs.get(&key).filter(|run| !run.learnt) else { return };
+        let members: Vec<_> = runs::gang_of(&self.runs, key).collect();
+        let ratio =
+            |(_, run): &(&model::RunKey, &runs::Run)| Some((run.life.host, run.pace.ratio()?));
+        let Some(ratios) = members.iter().map(ratio).collect::<Option<Vec<_>>>() else { return };
+        if run.gang {
+            self.health.ran_together(&ratios);
+        } else {
+            let place = book.jobs.get(&key.task.job).map(|job| &job.submission.place);
+            let place = place.map_or("", String::as_str);
+            ratios.iter().for_each(|(host, ratio)| self.health.ran(*host, place, *ratio));
+        }
+        let members: Vec<_> = members.iter().map(|(key, _)| **key).collect();
+        for member in members {
+            if let Some(run) = self.runs.get_mut(&member) {
+                run.learnt = true;
+            }
+        }
+    }
+
     pub(super) fn finished(
         &mut self,
         book: &book::Book,
--- a/src/core/dispatch/runs.rs
+++ b/src/core/dispatch/runs.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::core::dispatch::health;
 use crate::core::dispatch::order::Room;
 use crate::core::dispatch::pace;
 use crate::core::time;
@@ -70,6 +71,36 @@
     runs.range(first..=last)
 }
 
+/// The runs that a run falls with: its whole gang, or itself.
+pub fn gang_of(runs: &Runs, key: model::RunKey) -> impl Iterator<Item = (&model::RunKey, &Run)> {
+    let gang = runs.get(&key).is_some_and(|run| run.gang);
+    let falls = move |other: &model::RunKey| *other == key || (gang && other.run == key.run);
+    of_step(runs, key.task).filter(move |(other, run)| falls(other) && run.is_held())
+}
+
+/// How long a run will still take. Members of a gang end together, with the slowest of them.
+pub fn remaining(
+    runs: &Runs,
+    key: model::RunKey,
+    health: &health::Health,
+    now: time::Tick,
+) -> time::Millis {
+    let members = gang_of(runs, key);
+    let each = members.map(|(_, run)| run.pace.remaining(now, health.speed(run.life.host)));
+    each.max().unwrap_or(time::Millis(0))
+}
+
+/// Whether a run stands still. A member of a gang that has done all of its own work does not while
+/// others have not.
+pub fn is_still(runs: &Runs, key: model::RunKey, health: &health::Health, now: time::Tick) -> bool {
+    let Some(run) = runs.get(&key) else { return false };
+    let rest = |(_, other): (&model::RunKey, &Run)| !other.pace.is_complete();
+    if run.gang && run.pace.is_complete() && gang_of(runs, key).any(rest) {
+        return false;
+    }
+    run.pace.is_still(now, health.speed(run.life.host))
+}
+
 /// The keys of the runs of one job.
 pub fn of_job(runs: &Runs, job: crate::core::ids::JobKey) -> Vec<model::RunKey> {
     let low = model::TaskKey { job, occurrence: 0, step: 0, index: 0 };
--- a/tests/testsuite/dispatch_policy.rs
+++ b/tests/testsuite/dispatch_policy.rs
@@ -8,6 +8,9 @@
 
 use crate::support::flow;
 
+/// A task that was started: host, task, run.
+type Started = (u32, model::TaskName, u32);
+
 fn name(id: &str, index: u32) -> model::TaskName {
     model::TaskName { id: id.to_owned(), occurrence: 0, step: 0, index }
 }
@@ -226,3 +229,60 @@
     world.tick(1);
     assert_eq!(world.take_starts().len(), starts);
 }
+
+/// Two workers hold a gang of two; its first member gets on by `steps.0` percent each half second
+/// and its second by `steps.1`, until the first has done all of its own work.
+fn uneven_gang(world: &mut flow::World, rounds: u32, steps: (u32, u32)) -> Vec<Started> {
+    world.submit(1, "gg", vec![flow::gang(2, 8)]);
+    world.tick(1);
+    let mut members = world.take_starts();
+    members.sort_by_key(|(_, task, _)| task.index);
+    for round in 1..=rounds {
+        world.now += 500;
+        let percents = [(steps.0 * round).min(100), (steps.1 * round).min(100)];
+        for ((host, task, run), percent) in members.iter().zip(percents) {
+            world.report(flow::worker(*host, 1), &[(task.clone(), *run, percent)], &[]);
+        }
+        world.tick(1);
+    }
+    members
+}
+
+#[test]
+fn member_that_waits_for_the_rest_of_its_gang_is_left_alone() {
+    let mut world = flow::World::with_workers(2);
+    uneven_gang(&mut world, 14, (50, 5));
+    assert_eq!(world.take_stops(), []);
+}
+
+#[test]
+fn gang_of_which_nothing_is_left_to_do_but_that_does_not_end_is_moved() {
+    let mut world = flow::World::with_workers(2);
+    uneven_gang(&mut world, 14, (50, 50));
+    assert_eq!(world.take_stops().len(), 2);
+}
+
+#[test]
+fn member_that_waits_for_the_rest_of_its_gang_does_not_end_soon() {
+    let mut world = flow::World::with_workers(2);
+    let members = uneven_gang(&mut world, 4, (50, 5));
+    world.orders.clear();
+    world.submit(0, "hi", vec![flow::step(1, 8)]);
+    world.tick(1);
+    assert_eq!(world.take_stops().len(), members.len(), "nothing ends within seconds by itself");
+}
+
+#[test]
+fn gang_tells_fast_workers_from_slow_ones() {
+    let mut world = flow::World::with_workers(2);
+    let members = uneven_gang(&mut world, 3, (12, 30));
+    let (slow, fast) = (members[0].0, members[1].0);
+    for (host, task, run) in &members {
+        let ended = flow::finished(1, task, *run, model::How::Done);
+        world.report(flow::worker(*host, 1), &[], &[ended]);
+    }
+    world.orders.clear();
+    world.submit(0, "hi", vec![flow::step(1, 8)]);
+    world.tick(1);
+    assert_eq!(world.take_starts()[0].0, fast, "the gang ran slower on {slow}");
+}
