--- /dev/null
+++ b/src/control/guide.rs
@@ -0,0 +1,122 @@
+//! A host without a disk tells whoever looks for control replicas where they are.
+//!
+//! Processes are told a few addresses at which to look; some may be those of hosts that serve
+//! operators but hold no replica. A guide answers there as a replica that does not lead does, with
+//! what it has learnt itself. It never votes, stores nothing and admits nobody.
+
+use std::net;
+use std::rc;
+
+use futures_util::future;
+
+use crate::gate as gate_link;
+use crate::net::stream;
+use crate::telemetry::event;
+use crate::wire::codec;
+use crate::wire::disk;
+use crate::wire::gate;
+use crate::wire::peer;
+use crate::wire::runner;
+
+/// How long a stream may be silent.
+const SILENCE: std::time::Duration = std::time::Duration::from_secs(10);
+
+/// What a guide says of itself to replicas: no replica has this number.
+const NOBODY: disk::Identity = disk::Identity { replica: 0, store: 0 };
+
+/// Somebody who knows where the replicas are.
+pub trait Directions {
+    /// The leader's address, where it is known.
+    fn leader(&self) -> Option<String>;
+
+    /// The addresses of all replicas known.
+    fn replicas(&self) -> Vec<String>;
+}
+
+impl Directions for gate_link::Link {
+    fn leader(&self) -> Option<String> {
+        self.replicas().0.map(|addr| addr.to_string())
+    }
+
+    fn replicas(&self) -> Vec<String> {
+        self.replicas().1.iter().map(net::SocketAddr::to_string).collect()
+    }
+}
+
+/// Answers on the port on which a replica would serve.
+pub struct Guide {
+    cell: u16,
+    directions: rc::Rc<dyn Directions>,
+}
+
+impl Guide {
+    /// A guide for one cell.
+    pub fn new(cell: u16, directions: rc::Rc<dyn Directions>) -> Self {
+        Self { cell, directions }
+    }
+}
+
+impl stream::Handler for Guide {
+    fn handle(&self, incoming: stream::Incoming) -> future::LocalBoxFuture<'static, ()> {
+        let (cell, directions) = (self.cell, self.directions.clone());
+        match incoming.path.as_str() {
+            "/gate" => Box::pin(send_gate_on(cell, directions, incoming)),
+            "/runner" => Box::pin(send_runner_on(cell, directions, incoming)),
+            "/peer" => Box::pin(send_candidate_on(directions, incoming)),
+            _ => Box::pin(future::ready(())),
+        }
+    }
+}
+
+async fn send_gate_on(cell: u16, directions: rc::Rc<dyn Directions>, incoming: stream::Incoming) {
+    let from = incoming.peer;
+    let (sender, mut receiver) = incoming.split::<gate::Up, gate::Down>();
+    let Some(gate::Up::Hello { version, cell: named }) = next(&mut receiver).await else { return };
+    if speaks(from, version) && named == cell {
+        let answer = gate::Down::NotLeader(directions.leader(), directions.replicas());
+        sender.send(&answer).await;
+    }
+}
+
+async fn send_runner_on(cell: u16, directions: rc::Rc<dyn Directions>, incoming: stream::Incoming) {
+    let from = incoming.peer;
+    let (sender, mut receiver) = incoming.split::<runner::Up, runner::Down>();
+    let hello = next(&mut receiver).await;
+    let Some(runner::Up::Hello { version, cell: named, .. }) = hello else { return };
+    if speaks(from, version) && named == cell {
+        let answer = runner::Down::NotLeader(directions.leader(), directions.replicas());
+        sender.send(&answer).await;
+    }
+}
+
+/// Names the members to a replica that asks to be admitted; it asks them next.
+async fn send_candidate_on(directions: rc::Rc<dyn Directions>, incoming: stream::Incoming) {
+    let from = incoming.peer;
+    let (sender, mut receiver) = incoming.split::<peer::Up, peer::Down>();
+    while let Some(message) = next(&mut receiver).await {
+        let answer = match message {
+            peer::Up::Hello(said) if speaks(from, said.version) => {
+                let version = codec::VERSION;
+                peer::Down::Hello(peer::Hello { version, id: NOBODY, group: None })
+            }
+            peer::Up::Candidate(_) => peer::Down::Members(directions.replicas()),
+            _ => return,
+        };
+        sender.send(&answer).await;
+    }
+}
+
+/// The next message, unless the other side is silent for too long.
+async fn next<Up>(receiver: &mut stream::Receiver<Up>) -> Option<Up>
+where
+    Up: bincode::Decode<()>,
+{
+    tokio::time::timeout(SILENCE, receiver.receive()).await.ok()?
+}
+
+fn speaks(from: net::SocketAddr, version: u16) -> bool {
+    if version != codec::VERSION {
+        event::control::SESSION_REFUSED.log(format_args!("peer={from} version={version}"));
+    }
+    version == codec::VERSION
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,6 +23,7 @@
 pub mod entry_session;
 pub mod gate_session;
 mod gauges;
+pub mod guide;
 pub mod health;
 pub mod lead;
 pub mod leader_loop;
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -52,6 +52,8 @@
 pub struct Link {
     finder: leader::Finder,
     cell: u16,
+    /// The leader of the session, or of the last one.
+    leader: cell::Cell<Option<net::SocketAddr>>,
     /// Where calls go while there is a session.
     current: watch::Sender<Option<Requests>>,
     stop: watch::Sender<bool>,
@@ -64,6 +66,7 @@
         let link = rc::Rc::new(Self {
             finder: leader::Finder::new(seeds),
             cell,
+            leader: cell::Cell::new(None),
             current: watch::Sender::new(None),
             stop: watch::Sender::new(false),
             task: cell::RefCell::default(),
@@ -91,6 +94,11 @@
         self.current.borrow().is_some()
     }
 
+    /// The leader as last seen, and the addresses of all replicas that one has named.
+    pub fn replicas(&self) -> (Option<net::SocketAddr>, Vec<net::SocketAddr>) {
+        (self.leader.get(), self.finder.learnt())
+    }
+
     /// Calls the leader, for `patience` in all.
     pub async fn call(
         &self,
@@ -166,6 +174,7 @@
     };
     event::entry::LEADER.log(format_args!("addr={}", found.addr));
     let addr = found.addr;
+    link.leader.set(Some(addr));
     let (requests, incoming) = mpsc::channel(64);
     link.current.send_replace(Some(requests));
     serve(found, incoming).await;
--- a/src/net/leader.rs
+++ b/src/net/leader.rs
@@ -81,6 +81,11 @@
         known
     }
 
+    /// The addresses of the replicas that others have named.
+    pub fn learnt(&self) -> Vec<net::SocketAddr> {
+        self.learnt.borrow().clone()
+    }
+
     fn learn(&self, replicas: &[String]) {
         let addrs = replicas.iter().filter_map(|addr| addr.parse().ok());
         let fresh: Vec<_> = addrs.take(MAX_LEARNT).collect();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod entry_page;
 mod entry_process;
 mod gang;
+mod guide;
 mod lease;
 mod ledger;
 mod limit;
