Order again what a lost session may not have heard, and judge runs by reports only

The cancel came half a second after a leader had been elected, before the agents had opened their sessions, so the orders to stop reached nobody; and a run that was to stop was ordered again only while it was missing from its worker's lists, not while it was listed. Runs on workers that were cut off also counted as standing still, since nothing was heard of them, and were stopped as soon as the cut was over.

Ruled out: the agent dropping orders; its log has no order between the two sessions.

Change: a new session orders anew, with the first report, what was to start and is missing, and what was to stop. In a session a stop is repeated every 0.7 s while its run is listed. Whether a run stands still is judged by the time of the last report.

Tests: dispatch::stop_is_ordered_again_in_a_new_session, stop_is_ordered_again_while_the_run_is_listed, start_is_ordered_again_in_a_new_session, dispatch_policy::run_on_a_worker_that_is_cut_off_is_left_alone.

--- a/src/core/dispatch/lead.rs
+++ b/src/core/dispatch/lead.rs
@@ -105,6 +105,12 @@
         worker.connected = true;
         // Whatever an earlier session was told may not have arrived.
         worker.seen = 0;
+        for key in worker.taken.keys() {
+            let unsure = [runs::State::Ordered, runs::State::Stopping];
+            if let Some(run) = self.runs.get_mut(key).filter(|run| unsure.contains(&run.state)) {
+                run.ordered = None;
+            }
+        }
     }
 
     /// An agent's session has ended.
@@ -189,7 +195,7 @@
     pub(super) fn order_start(&mut self, book: &book::Book, key: model::RunKey, now: Moment) {
         let Some(job) = book.jobs.get(&key.task.job) else { return };
         let Some(run) = self.runs.get_mut(&key) else { return };
-        run.ordered = now.tick;
+        run.ordered = Some(now.tick);
         let saved = job.task(key.task).map(|task| task.saved.clone()).unwrap_or_default();
         let start = order::Start {
             life: run.life,
@@ -204,7 +210,7 @@
     pub(super) fn order_stop(&mut self, book: &book::Book, key: model::RunKey, now: Moment) {
         let Some(job) = book.jobs.get(&key.task.job) else { return };
         let Some(run) = self.runs.get_mut(&key) else { return };
-        run.ordered = now.tick;
+        run.ordered = Some(now.tick);
         let (life, task) = (run.life, name(job, key.task));
         let order = order::Order::Stop { life, task, run: key.run };
         self.effects.push(order::Effect::Order(life.host, order));
@@ -275,7 +281,7 @@
         gang: step.gang,
         saves: step.checkpoints,
         since: now.tick,
-        ordered: now.tick,
+        ordered: Some(now.tick),
         heard: now.tick,
         saved,
         pace: pace::Pace::new(step.estimate, now.tick),
--- a/src/core/dispatch/pace.rs
+++ b/src/core/dispatch/pace.rs
@@ -28,6 +28,8 @@
     estimate: u64,
     /// When it was placed.
     since: time::Tick,
+    /// When it was last heard of.
+    heard: time::Tick,
     /// The first progress that was heard of, and when.
     first: Option<(time::Tick, u32)>,
     /// The last progress, and when it was first heard of.
@@ -42,6 +44,7 @@
         Self {
             estimate: u64::from(estimate.max(1)),
             since: now,
+            heard: now,
             first: None,
             last: (now, 0),
             short: None,
@@ -50,6 +53,7 @@
 
     /// Takes note of how much of its work is done, in percent.
     pub fn heard(&mut self, now: time::Tick, percent: u32) {
+        self.heard = now;
         if self.first.is_none() && percent > 0 {
             self.first = Some((now, percent));
         }
@@ -91,11 +95,12 @@
         time::Millis((left - since).max(least.min(left)) as u64)
     }
 
-    /// Whether it stands still.
-    pub fn is_still(&self, now: time::Tick, speed: f64) -> bool {
+    /// Whether it stood still when it was last heard of. While its worker is cut off, nothing is
+    /// known of it.
+    pub fn is_still(&self, speed: f64) -> bool {
         let step =
             self.own().unwrap_or(self.estimate as f64 / f64::from(COMPLETE) / speed.max(0.01));
-        let quiet = (now - self.last.0).0;
+        let quiet = (self.heard - self.last.0).0;
         let patience = STILL.0.max((step * STILL_STEPS as f64) as u64);
         let warm = if self.first.is_none() { WARM_UP.0 } else { 0 };
         quiet > patience + warm
--- a/src/core/dispatch/report.rs
+++ b/src/core/dispatch/report.rs
@@ -14,6 +14,10 @@
 /// How long a run may be missing from its worker's lists before its order is sent again.
 const MISSING: time::Millis = time::Millis(1500);
 
+/// How long a run that was to stop may still be listed before that is ordered again: a stop takes
+/// 400 ms, and its report has to arrive.
+const STOPPING: time::Millis = time::Millis(700);
+
 /// How long a worker that leaves stays if it does not say: as long as it has to be served.
 const STAYS: time::Millis = time::Millis(2000);
 
@@ -154,7 +158,8 @@
         self.propose_ends(endings);
     }
 
-    /// Orders again what a worker's lists should show and don't.
+    /// Orders again what a worker's lists should show and don't: runs that were to start and are
+    /// missing, and runs that were to stop and are still there or have not ended.
     pub(super) fn chase(
         &mut self,
         book: &book::Book,
@@ -163,15 +168,13 @@
         listed: &BTreeSet<model::RunKey>,
         now: Moment,
     ) {
-        let due = |run: &runs::Run| {
-            let quiet = run.ordered.max(run.heard) + MISSING <= now.tick;
-            run.life == life && quiet && run.is_held() && run.state != runs::State::Proposed
-        };
         let Some(worker) = self.workers.get(&host) else { return };
-        let missing = worker.taken.keys().filter(|key| !listed.contains(key));
-        let missing: Vec<_> =
-            missing.filter(|key| self.runs.get(key).is_some_and(due)).copied().collect();
-        for key in missing {
+        let is_due = |key: &&model::RunKey| {
+            let run = self.runs.get(key).filter(|run| run.life == life);
+            run.is_some_and(|run| is_due(run, listed.contains(key), now.tick))
+        };
+        let due: Vec<_> = worker.taken.keys().filter(is_due).copied().collect();
+        for key in due {
             match self.runs[&key].state {
                 runs::State::Stopping => self.order_stop(book, key, now),
                 _ => self.order_start(book, key, now),
@@ -214,3 +217,18 @@
         }
     }
 }
+
+/// Whether an order about a run has to be sent again, after a report that lists it or does not.
+fn is_due(run: &runs::Run, listed: bool, now: time::Tick) -> bool {
+    let is_missing = |ordered: time::Tick| !listed && ordered.max(run.heard) + MISSING <= now;
+    match (run.state, run.ordered) {
+        (runs::State::Stopping, None) => true,
+        (runs::State::Stopping, Some(at)) if listed => at + STOPPING <= now,
+        (runs::State::Ordered, None) => !listed,
+        (runs::State::Running, None) => is_missing(run.heard),
+        (runs::State::Ordered | runs::State::Running | runs::State::Stopping, Some(at)) => {
+            is_missing(at)
+        }
+        (runs::State::Proposed | runs::State::Ending, _) => false,
+    }
+}
--- a/src/core/dispatch/runs.rs
+++ b/src/core/dispatch/runs.rs
@@ -42,8 +42,8 @@
     pub saves: bool,
     /// When it was placed.
     pub since: time::Tick,
-    /// When the last order about it was sent.
-    pub ordered: time::Tick,
+    /// When the last order about it was sent in its agent's present session.
+    pub ordered: Option<time::Tick>,
     /// When it was last heard of.
     pub heard: time::Tick,
     /// Its last known checkpoint.
@@ -92,13 +92,13 @@
 
 /// Whether a run stands still. A member of a gang that has done all of its own work does not while
 /// others have not.
-pub fn is_still(runs: &Runs, key: model::RunKey, health: &health::Health, now: time::Tick) -> bool {
+pub fn is_still(runs: &Runs, key: model::RunKey, health: &health::Health) -> bool {
     let Some(run) = runs.get(&key) else { return false };
     let rest = |(_, other): (&model::RunKey, &Run)| !other.pace.is_complete();
     if run.gang && run.pace.is_complete() && gang_of(runs, key).any(rest) {
         return false;
     }
-    run.pace.is_still(now, health.speed(run.life.host))
+    run.pace.is_still(health.speed(run.life.host))
 }
 
 /// The keys of the runs of one job.
--- a/tests/testsuite/dispatch.rs
+++ b/tests/testsuite/dispatch.rs
@@ -285,3 +285,52 @@
     world.tick(1);
     assert_eq!(world.take_starts().len(), starts);
 }
+
+/// A stop that was ordered while the worker's agent was away, as right after a change of leader.
+#[test]
+fn stop_is_ordered_again_in_a_new_session() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(1, 1)]);
+    world.tick(1);
+    let (_, task, run) = world.take_starts()[0].clone();
+    world.report(flow::worker(0, 1), &[(task.clone(), run, 10)], &[]);
+    world.dispatch.disconnected(0);
+    world.apply(command::Command::Cancel(flow::queue(1).place(), "aa".to_owned()));
+    world.settle();
+    world.orders.clear();
+    world.connect(0);
+    world.report(flow::worker(0, 1), &[(task.clone(), run, 20)], &[]);
+    assert_eq!(world.take_stops(), [(0, task, run)]);
+}
+
+#[test]
+fn stop_is_ordered_again_while_the_run_is_listed() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(1, 1)]);
+    world.tick(1);
+    let (_, task, run) = world.take_starts()[0].clone();
+    world.report(flow::worker(0, 1), &[(task.clone(), run, 10)], &[]);
+    world.apply(command::Command::Cancel(flow::queue(1).place(), "aa".to_owned()));
+    world.settle();
+    assert_eq!(world.take_stops().len(), 1);
+    let mut again = 0;
+    for _ in 0..4 {
+        world.now += 500;
+        world.report(flow::worker(0, 1), &[(task.clone(), run, 20)], &[]);
+        again += world.take_stops().len();
+    }
+    assert_eq!(again, 2, "the order may have been lost; each may take its time");
+}
+
+/// A start that the agent never heard of is not held up until it counts as missing.
+#[test]
+fn start_is_ordered_again_in_a_new_session() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(1, 1)]);
+    world.tick(1);
+    let started = world.take_starts();
+    world.dispatch.disconnected(0);
+    world.connect(0);
+    world.report(flow::worker(0, 1), &[], &[]);
+    assert_eq!(world.take_starts(), started);
+}
--- a/tests/testsuite/dispatch_policy.rs
+++ b/tests/testsuite/dispatch_policy.rs
@@ -139,6 +139,24 @@
     assert_eq!(world.take_stops().first(), Some(&(host, task, run)));
 }
 
+#[test]
+fn run_on_a_worker_that_is_cut_off_is_left_alone() {
+    let mut world = flow::World::with_workers(2);
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    world.tick(1);
+    let (host, task, run) = world.take_starts()[0].clone();
+    // Nothing is heard of it for five seconds; meanwhile it gets on.
+    for percent in [Some(10), Some(20), None, None, None, None, None, None, None, None, Some(90)] {
+        world.now += 500;
+        if let Some(percent) = percent {
+            world.report(flow::worker(host, 1), &[(task.clone(), run, percent)], &[]);
+        }
+        world.report(flow::worker(1 - host, 1), &[], &[]);
+        world.tick(1);
+    }
+    assert_eq!(world.take_stops(), []);
+}
+
 #[test]
 fn steady_run_is_left_alone() {
     let mut world = flow::World::with_workers(2);
@@ -259,7 +277,9 @@
 fn gang_of_which_nothing_is_left_to_do_but_that_does_not_end_is_moved() {
     let mut world = flow::World::with_workers(2);
     uneven_gang(&mut world, 14, (50, 50));
-    assert_eq!(world.take_stops().len(), 2);
+    let stopped: std::collections::BTreeSet<_> =
+        world.take_stops().into_iter().map(|(host, _, _)| host).collect();
+    assert_eq!(stopped.len(), 2);
 }
 
 #[test]
