Let late jobs pass those that can still make their objective

Cause: within a rank the objective that ends first went first. In a burst of urgent jobs the first one that is late then makes all behind it late, although it gains little itself.

Change: a job whose objective can't be met any more, by six tenths of what its estimates leave to do, goes behind those that can; one past three objectives behind both. Guaranteed work keeps its order whatever it achieves, since it has to start within a bound.

Tests: dispatch_policy::late_job_lets_those_pass_that_can_still_make_it, prospect_of_a_waiting_job, prospect_counts_what_is_left.

--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -232,8 +232,7 @@
         rest: &[u32],
         now: Moment,
     ) -> bool {
-        let late = now.wall.0 > waiting.objective && waiting.rank > queue::GUARANTEED;
-        if waiting.spent || late {
+        if waiting.prospect > queue::Prospect::InTime {
             return false;
         }
         let ask = self.ask(book, job, waiting, now);
@@ -261,7 +260,11 @@
     ) {
         let ask = self.ask(book, job, waiting, now);
         let starved = waiting.rank <= queue::URGENT || ask.waited >= STARVED;
-        if waiting.rank > KEPT_RANK || !starved || !ask.crowded || waiting.spent {
+        if waiting.rank > KEPT_RANK
+            || !starved
+            || !ask.crowded
+            || waiting.prospect == queue::Prospect::Spent
+        {
             return;
         }
         let sites = self.sites(ask, waiting, now);
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -1,8 +1,11 @@
 //! Which steps wait for room, and which of them goes first.
 //!
 //! Urgent jobs within their client account's guarantee come first, then other urgent jobs, then
-//! the queues by their rank. Within a rank the job whose objective ends first goes first; one that
-//! is past any use goes behind all others of its rank.
+//! the queues by their rank. Within a rank the job whose objective ends first goes first.
+//!
+//! Answers bursts in which not all can be served in time: a job that can't make its objective any
+//! more lets those pass that still can, and one that is past any use goes behind all others of its
+//! rank. Without that, the first late job makes all behind it late.
 
 use std::collections::BTreeMap;
 
@@ -13,6 +16,7 @@
 use crate::core::workflow::directory;
 use crate::core::workflow::job;
 use crate::core::workflow::model;
+use crate::macros;
 
 /// The rank of urgent jobs within their client account's guarantee.
 pub const GUARANTEED: u32 = 0;
@@ -23,13 +27,29 @@
 /// How many objectives after its acceptance a job is of no use any more.
 const LAST_USE: u64 = 3;
 
+/// The part of its estimate, in percent, that a job takes at least: it counts as late once not
+/// even that fits into the rest of its objective. Callers' estimates are wrong by a factor of two.
+const LEAST_PART: u64 = 60;
+
+macros::small! {
+    /// What a step that starts now can still achieve for its job.
+    pub enum Prospect {
+        /// It may end within its objective.
+        InTime,
+        /// It ends late.
+        Late,
+        /// It is past any use.
+        Spent,
+    }
+}
+
 /// A step with tasks that wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Waiting {
     /// The rank of its job; lower goes first.
     pub rank: u32,
-    /// Whether its job is past any use.
-    pub spent: bool,
+    /// What it can still achieve.
+    pub prospect: Prospect,
     /// When the job's objective ends, in civil time.
     pub objective: u64,
     /// The first of its tasks.
@@ -54,11 +74,12 @@
                 }
                 let since = due.max(job.accepted);
                 let span = objective(book, job);
+                let rest = chain(&job.submission.workflow, step);
                 let first =
                     model::TaskKey { job: key, occurrence: *number, step: step as u32, index: 0 };
                 found.push(Waiting {
                     rank,
-                    spent: now.wall.0 > since + span.0 * LAST_USE,
+                    prospect: prospect(rank, now.wall.0, (since, span.0), rest),
                     objective: since + span.0,
                     first,
                 });
@@ -69,6 +90,20 @@
     found
 }
 
+/// What a step can still achieve that starts now, whose job is due at a time and is to end within
+/// a span of that, and after whose start `rest` is left by the estimates. Guaranteed work starts in
+/// its order whatever it achieves.
+fn prospect(rank: u32, now: u64, (since, span): (u64, u64), rest: u64) -> Prospect {
+    if rank == GUARANTEED {
+        return Prospect::InTime;
+    }
+    if now > since + span * LAST_USE {
+        return Prospect::Spent;
+    }
+    let ends = now + rest * LEAST_PART / 100;
+    if ends > since + span { Prospect::Late } else { Prospect::InTime }
+}
+
 /// The rank of a job whatever guarantees its client account has.
 pub fn plain_rank(job: &job::Job) -> u32 {
     URGENT + job.submission.priority
@@ -104,19 +139,26 @@
     let directory = book.directory.as_ref();
     let queue = directory.and_then(|directory| directory.queue_at(&job.submission.place));
     let (stretch, latency) = queue.map_or((1000, 0), span_of);
-    time::Millis(chain(&job.submission.workflow) * stretch / 1000 + latency)
+    time::Millis(whole_chain(&job.submission.workflow) * stretch / 1000 + latency)
 }
 
 fn span_of(queue: &directory::Queue) -> (u64, u64) {
     (u64::from(queue.stretch), u64::from(queue.latency))
 }
 
-/// The longest chain of estimates through the steps, in milliseconds.
-fn chain(workflow: &model::Workflow) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(workflow.steps.len());
-    for step in &workflow.steps {
-        let before = step.after.iter().map(|earlier| ends[*earlier as usize]).max().unwrap_or(0);
-        ends.push(before + u64::from(step.estimate));
+/// The longest chain of estimates from a step on, in milliseconds.
+fn chain(workflow: &model::Workflow, from: usize) -> u64 {
+    let mut ends: Vec<Option<u64>> = vec![None; workflow.steps.len()];
+    for (number, step) in workflow.steps.iter().enumerate().skip(from) {
+        let before = step.after.iter().filter_map(|earlier| ends[*earlier as usize]).max();
+        if before.is_some() || number == from {
+            ends[number] = Some(before.unwrap_or(0) + u64::from(step.estimate));
+        }
     }
-    ends.into_iter().max().unwrap_or(0)
+    ends.into_iter().flatten().max().unwrap_or(0)
+}
+
+/// The longest chain of estimates through all steps, in milliseconds.
+fn whole_chain(workflow: &model::Workflow) -> u64 {
+    (0..workflow.steps.len()).map(|step| chain(workflow, step)).max().unwrap_or(0)
 }
--- a/src/core/dispatch/relieve.rs
+++ b/src/core/dispatch/relieve.rs
@@ -79,8 +79,9 @@
         now: Moment,
     ) -> bool {
         let first = model::TaskKey { index: 0, ..key.task };
-        let waiting =
-            queue::Waiting { rank: queue::plain_rank(job), spent: false, objective: 0, first };
+        let rank = queue::plain_rank(job);
+        let prospect = queue::Prospect::InTime;
+        let waiting = queue::Waiting { rank, prospect, objective: 0, first };
         let ask = self.ask(book, job, &waiting, now);
         let need = Room::of(ask.step);
         self.sites(ask, &waiting, now).iter().any(|site| site.free.holds(need))
--- a/tests/testsuite/dispatch_policy.rs
+++ b/tests/testsuite/dispatch_policy.rs
@@ -2,6 +2,7 @@
 
 use hemlockcleat::core::dispatch::health;
 use hemlockcleat::core::dispatch::pace;
+use hemlockcleat::core::dispatch::queue;
 use hemlockcleat::core::ids;
 use hemlockcleat::core::time;
 use hemlockcleat::core::workflow::model;
@@ -306,3 +307,51 @@
     world.tick(1);
     assert_eq!(world.take_starts()[0].0, fast, "the gang ran slower on {slow}");
 }
+
+/// A burst of four jobs for one worker; each takes its estimate of 2 s and is to end within 7 s.
+#[test]
+fn late_job_lets_those_pass_that_can_still_make_it() {
+    let mut world = flow::World::with_workers(1);
+    for (at, id) in [(0, "aa"), (100, "bb"), (4000, "cc"), (6500, "dd")] {
+        world.tick(at - world.now.min(at));
+        world.submit(1, id, vec![flow::step(1, 8)]);
+    }
+    let mut order = Vec::new();
+    // The first run is a straggler of 6.5 s.
+    for (number, took) in [(1, 0), (2, 2000), (3, 2000), (4, 2000)] {
+        world.now += took;
+        world.report(flow::worker(0, 1), &[], &[]);
+        world.tick(1);
+        let (host, task, run) = world.take_starts().remove(0);
+        let ended = flow::finished(number, &task, run, model::How::Done);
+        order.push(task.id);
+        world.report(flow::worker(host, 1), &[], &[ended]);
+        world.orders.clear();
+    }
+    assert_eq!(order, ["aa", "cc", "dd", "bb"]);
+}
+
+#[rstest::rstest]
+#[case::in_time(0, queue::Prospect::InTime)]
+#[case::just_in_time(5700, queue::Prospect::InTime)]
+#[case::too_late(5900, queue::Prospect::Late)]
+#[case::past_its_objective(7100, queue::Prospect::Late)]
+#[case::past_any_use(21_100, queue::Prospect::Spent)]
+fn prospect_of_a_waiting_job(#[case] after: u64, #[case] expected: queue::Prospect) {
+    let mut world = flow::World::default();
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    let waiting = queue::waiting(&world.book, flow::moment(after));
+    assert_eq!(waiting[0].prospect, expected);
+}
+
+/// The second of two steps waits for the first; what the first takes is behind it by then.
+#[test]
+fn prospect_counts_what_is_left() {
+    let mut world = flow::World::default();
+    let second = model::Step { after: vec![0], ..flow::step(1, 1) };
+    world.submit(1, "aa", vec![model::Step { estimate: 9000, ..flow::step(1, 8) }, second]);
+    // All of it is to end within three times 11 s and 1 s.
+    let at = |now| queue::waiting(&world.book, flow::moment(now))[0].prospect;
+    assert_eq!(at(27_000), queue::Prospect::InTime);
+    assert_eq!(at(28_000), queue::Prospect::Late);
+}
