--- a/src/bin/hemlockcleat-control.rs
+++ b/src/bin/hemlockcleat-control.rs
@@ -25,16 +25,6 @@
     };
     let telemetry = settings.telemetry.clone();
     ops::daemon::run(&telemetry, async move {
-        let signal = ops::daemon::stop_signal();
-        let control = control::Control::start(settings).await?;
-        tokio::select! {
-            signal = signal => signal?,
-            cause = control.failed() => {
-                control.stop().await;
-                return Err(cause.into());
-            }
-        }
-        control.stop().await;
-        Ok(())
+        control::keep::run(settings, ops::daemon::stop_signal()).await
     })
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -25,6 +25,7 @@
 mod gauges;
 pub mod guide;
 pub mod health;
+pub mod keep;
 pub mod lead;
 pub mod leader_loop;
 pub mod machine;
@@ -121,7 +122,7 @@
     }
 
     /// Resolves with the cause once the replica can't go on, such as a full disk or a failed sync.
-    /// The process is to end then: nothing it holds can be trusted to be durable.
+    /// It is to be stopped then: nothing it holds can be trusted to be durable.
     pub async fn failed(&self) -> String {
         self.replica.failed().await
     }
--- a/src/telemetry/event/store.rs
+++ b/src/telemetry/event/store.rs
@@ -8,9 +8,9 @@
 pub const TAIL_CUT: Event = Event::new(301, log::Level::Warn, "torn write cut off");
 /// The data folder can't be used.
 pub const REFUSED: Event = Event::new(302, log::Level::Error, "data folder refused");
-/// Writing or syncing failed; the process ends.
+/// Writing or syncing failed; the replica is opened afresh.
 pub const WRITE_FAILED: Event = Event::new(303, log::Level::Error, "write failed");
-/// The disk is full; the process ends.
+/// The disk is full; the replica is opened afresh until there is room.
 pub const DISK_FULL: Event = Event::new(304, log::Level::Error, "disk full");
 /// A snapshot is durable, and what it covers is gone.
 pub const SNAPSHOT_SAVED: Event = Event::new(305, log::Level::Info, "snapshot saved");
@@ -28,6 +28,8 @@
 pub const MEMBERSHIP: Event = Event::new(314, log::Level::Info, "membership changed");
 /// A peer is not who it should be.
 pub const PEER_REFUSED: Event = Event::new(315, log::Level::Warn, "peer refused");
+/// A replica that can't go on is stopped, and opened afresh after a pause.
+pub const REOPENS: Event = Event::new(316, log::Level::Warn, "replica to be opened afresh");
 
 /// Every event of this range.
 pub const ALL: &[Event] = &[
@@ -44,4 +46,5 @@
     NOT_MEMBER,
     MEMBERSHIP,
     PEER_REFUSED,
+    REOPENS,
 ];
--- /dev/null
+++ b/tests/testsuite/keep.rs
@@ -0,0 +1,92 @@
+//! What a process does with a replica that can't go on.
+
+use std::cell;
+use std::error;
+use std::future;
+use std::rc;
+use std::time;
+
+use futures_util::future::LocalBoxFuture;
+use hemlockcleat::control::keep;
+
+use crate::support;
+
+/// What happened, in order.
+type Story = rc::Rc<cell::RefCell<Vec<&'static str>>>;
+
+/// Fails at once, or never.
+struct Part {
+    fails: bool,
+    story: Story,
+}
+
+impl keep::Kept for Part {
+    fn failed(&self) -> LocalBoxFuture<'_, String> {
+        match self.fails {
+            true => Box::pin(future::ready("no room".to_owned())),
+            false => Box::pin(future::pending()),
+        }
+    }
+
+    fn stop(self: Box<Self>) -> LocalBoxFuture<'static, ()> {
+        self.story.borrow_mut().push("stopped");
+        Box::pin(future::ready(()))
+    }
+}
+
+/// What a try to open comes to.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Try {
+    Refused,
+    Fails,
+    Runs,
+}
+
+/// Keeps what opens by this script, until the last try runs.
+async fn play(tries: &'static [Try]) -> (Vec<&'static str>, Result<(), String>) {
+    let story = Story::default();
+    let next = cell::Cell::new(0);
+    let (runs, running) = tokio::sync::oneshot::channel();
+    let runs = cell::Cell::new(Some(runs));
+    let open = || {
+        let tried = tries[next.get()];
+        next.set(next.get() + 1);
+        if tried == Try::Runs {
+            let runs = runs.take().expect("one try that runs");
+            let _ = runs.send(());
+        }
+        let story = story.clone();
+        async move {
+            if tried == Try::Refused {
+                return Err(Box::<dyn error::Error>::from("disk full"));
+            }
+            story.borrow_mut().push("opened");
+            Ok(Box::new(Part { fails: tried == Try::Fails, story }) as Box<dyn keep::Kept>)
+        }
+    };
+    let stopped = async {
+        let _ = running.await;
+        Ok(())
+    };
+    let kept = tokio::time::timeout(time::Duration::from_secs(20), keep::keep(open, stopped)).await;
+    let ended = kept.expect("an end").map_err(|error| error.to_string());
+    (story.take(), ended)
+}
+
+#[test]
+fn failed_replica_is_opened_afresh() {
+    support::run(async {
+        let (story, ended) = play(&[Try::Fails, Try::Refused, Try::Runs]).await;
+        assert_eq!(story, ["opened", "stopped", "opened", "stopped"]);
+        assert_eq!(ended, Ok(()));
+    });
+}
+
+#[test]
+fn replica_that_never_opened_ends_the_process() {
+    support::run(async {
+        let (story, ended) = play(&[Try::Refused]).await;
+        assert!(story.is_empty());
+        assert_eq!(ended, Err("disk full".to_owned()));
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod entry_process;
 mod gang;
 mod guide;
+mod keep;
 mod lease;
 mod ledger;
 mod limit;
