Ask control about the key before a request without room is said not to have run

Cause: an entry refused what went beyond its account's room with not-run although the key had been accepted by another entry.

Ruled out: asking callers to name resends; that ?resend=true exists makes the refusal no truer.

Change: where there is no room the entry asks control. A known key is answered with how its request stands, an unknown one is refused with not-run, and where control does not answer nothing is claimed. An earlier send that is still on its way at another entry is not covered; callers name it by resend.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -120,19 +120,46 @@
 ) -> http::Response {
     let place = match Place::take(state, &spec) {
         Ok(place) => place,
-        Err(refused) => {
-            let refusal = honest(refused.refusal, query);
-            state.count_refusal(&spec.service, &refusal);
-            let mut response = reply::refused(&refusal);
-            reply::retry_after(&mut response, refused.retry_after);
-            return response;
-        }
+        Err(refused) => return over_limit(state, target, &spec.service, refused, query, hop).await,
     };
     let response = send(state, target, spec, query, hop).await;
     drop(place);
     response
 }
 
+/// Refuses a submission for which there is no room, unless control knows its key: then an earlier
+/// send was accepted, and how that stands is the answer. `not-run` needs control's word that the
+/// key is unknown.
+async fn over_limit(
+    state: &state::State,
+    target: &Target,
+    service: &str,
+    refused: limit::Refusal,
+    query: Query,
+    hop: &trace::Hop,
+) -> http::Response {
+    let asked = state.link.call(&hop.context().into(), target.fetch(0), state.patience()).await;
+    let refusal = match asked {
+        Ok(wire::Reply::Job(job)) if fits(&job, target) => return accepted(&job),
+        Ok(wire::Reply::Refused(said)) if is_unknown(&said) => honest(refused.refusal, query),
+        Ok(_) | Err(_) => {
+            let limit::Refusal { refusal, .. } = &refused;
+            let detail = format!("{}; whether the key is known was not learnt", refusal.detail);
+            verdict::Refusal::may_have_run(refusal.reason, detail)
+        }
+    };
+    state.count_refusal(service, &refusal);
+    let mut response = reply::refused(&refusal);
+    reply::retry_after(&mut response, refused.retry_after);
+    response
+}
+
+/// Whether control refused because it does not know the request.
+fn is_unknown(refusal: &common::Refusal) -> bool {
+    let said = verdict::Refusal::try_from(refusal.clone());
+    said.is_ok_and(|said| said.reason == verdict::Reason::Unknown)
+}
+
 /// A submission's place among those this entry holds; given back when dropped.
 struct Place<'a> {
     state: &'a state::State,
--- a/tests/testsuite/entry_contract.rs
+++ b/tests/testsuite/entry_contract.rs
@@ -200,6 +200,42 @@
     });
 }
 
+/// A request that was accepted is sent again, without saying so, when its account has used up its
+/// room: the answer is how it stands, and never that it has not run.
+#[rstest]
+#[case::in_hand(false, 202)]
+#[case::ended(true, 200)]
+fn resend_beyond_the_queue_is_shown(#[case] ended: bool, #[case] status: u16) {
+    cases::with_entry(async |control, entry| {
+        let first = cases::submit(entry, cases::REQUEST).await;
+        assert_eq!(first.status, 202);
+        if ended {
+            control.finish("swan-coast", "r1", b"an answer");
+        }
+        let mut config = fake_control::config(2);
+        config.accounts = vec![fake_control::account("swan-coast", 0)];
+        control.shared.config.send_replace(config);
+        while cases::get(entry, "/v1/status").await.json()["entry_revision"] != 2 {}
+        let again = cases::submit(entry, cases::REQUEST).await;
+        assert_eq!(again.status, status, "{again:?}");
+        assert_eq!(control.submissions(), 1);
+    });
+}
+
+/// Whether the key is known can't be learnt, so nothing is said of it.
+#[test]
+fn refusal_without_control_claims_nothing() {
+    cases::with_entry(async |control, entry| {
+        let mut config = fake_control::config(2);
+        config.accounts = vec![fake_control::account("swan-coast", 0)];
+        control.shared.config.send_replace(config);
+        while cases::get(entry, "/v1/status").await.json()["entry_revision"] != 2 {}
+        control.script(|_, _| fake_control::Act::Send(Vec::new()));
+        let reply = cases::submit(entry, cases::REQUEST).await;
+        assert_eq!(reply.json()["verdict"], "may-have-run");
+    });
+}
+
 #[rstest]
 #[case::unknown_field(r#"{"number": 1, "tickets": {}}"#, "unknown field `tickets`")]
 #[case::number_zero(r#"{"number": 0}"#, "number: must be 1 or more")]
