Look up a run's gang by its own key range, and refuse strangers at a guide in one place

Reading the change anew: each report walked a whole step for each of its runs to find the gang of a task that has none, and a guide logged a wrong version but not a wrong cell. No change of behaviour beside that line of the log.

--- a/src/control/guide.rs
+++ b/src/control/guide.rs
@@ -72,7 +72,7 @@
     let from = incoming.peer;
     let (sender, mut receiver) = incoming.split::<gate::Up, gate::Down>();
     let Some(gate::Up::Hello { version, cell: named }) = next(&mut receiver).await else { return };
-    if speaks(from, version) && named == cell {
+    if is_ours(from, version, named == cell) {
         let answer = gate::Down::NotLeader(directions.leader(), directions.replicas());
         sender.send(&answer).await;
     }
@@ -83,7 +83,7 @@
     let (sender, mut receiver) = incoming.split::<runner::Up, runner::Down>();
     let hello = next(&mut receiver).await;
     let Some(runner::Up::Hello { version, cell: named, .. }) = hello else { return };
-    if speaks(from, version) && named == cell {
+    if is_ours(from, version, named == cell) {
         let answer = runner::Down::NotLeader(directions.leader(), directions.replicas());
         sender.send(&answer).await;
     }
@@ -95,7 +95,7 @@
     let (sender, mut receiver) = incoming.split::<peer::Up, peer::Down>();
     while let Some(message) = next(&mut receiver).await {
         let answer = match message {
-            peer::Up::Hello(said) if speaks(from, said.version) => {
+            peer::Up::Hello(said) if is_ours(from, said.version, true) => {
                 let version = codec::VERSION;
                 peer::Down::Hello(peer::Hello { version, id: NOBODY, group: None })
             }
@@ -114,9 +114,12 @@
     tokio::time::timeout(SILENCE, receiver.receive()).await.ok()?
 }
 
-fn speaks(from: net::SocketAddr, version: u16) -> bool {
-    if version != codec::VERSION {
-        event::control::SESSION_REFUSED.log(format_args!("peer={from} version={version}"));
+/// Whether a hello is of this protocol and for this cell.
+fn is_ours(from: net::SocketAddr, version: u16, same_cell: bool) -> bool {
+    let ours = version == codec::VERSION && same_cell;
+    if !ours {
+        event::control::SESSION_REFUSED
+            .log(format_args!("peer={from} version={version} same_cell={same_cell}"));
     }
-    version == codec::VERSION
+    ours
 }
--- a/src/control/keep.rs
+++ b/src/control/keep.rs
@@ -73,7 +73,7 @@
     let mut kept = Some(open().await?);
     loop {
         if let Some(running) = kept.take() {
-            let failure = tokio::select! {
+            let asked = tokio::select! {
                 stop = &mut stopped => Some(stop),
                 cause = running.failed() => {
                     event::store::REOPENS.log(format_args!("cause={cause}"));
@@ -81,7 +81,7 @@
                 }
             };
             running.stop().await;
-            if let Some(stop) = failure {
+            if let Some(stop) = asked {
                 return Ok(stop?);
             }
         }
--- a/src/core/dispatch/runs.rs
+++ b/src/core/dispatch/runs.rs
@@ -66,16 +66,22 @@
 
 /// The runs of one step of one occurrence.
 pub fn of_step(runs: &Runs, task: model::TaskKey) -> impl Iterator<Item = (&model::RunKey, &Run)> {
+    let (first, last) = step_range(task);
+    runs.range(first..=last)
+}
+
+/// The first and the last key that a run of a step can have.
+fn step_range(task: model::TaskKey) -> (model::RunKey, model::RunKey) {
     let first = model::RunKey { task: model::TaskKey { index: 0, ..task }, run: 0 };
     let last = model::RunKey { task: model::TaskKey { index: u32::MAX, ..task }, run: u32::MAX };
-    runs.range(first..=last)
+    (first, last)
 }
 
 /// The runs that a run falls with: its whole gang, or itself.
 pub fn gang_of(runs: &Runs, key: model::RunKey) -> impl Iterator<Item = (&model::RunKey, &Run)> {
     let gang = runs.get(&key).is_some_and(|run| run.gang);
-    let falls = move |other: &model::RunKey| *other == key || (gang && other.run == key.run);
-    of_step(runs, key.task).filter(move |(other, run)| falls(other) && run.is_held())
+    let (first, last) = if gang { step_range(key.task) } else { (key, key) };
+    runs.range(first..=last).filter(move |(other, run)| other.run == key.run && run.is_held())
 }
 
 /// How long a run will still take. Members of a gang end together, with the slowest of them.
