Take no gang for stuck whose end is on its way

Change: a member that is done stands still only if all members of its gang do, and not once the book no longer holds it.

Test: dispatch_policy::gang_that_has_just_ended_is_left_alone, both cases red before.

--- a/src/core/dispatch/relieve.rs
+++ b/src/core/dispatch/relieve.rs
@@ -24,7 +24,7 @@
     /// Stops what would get on better elsewhere: runs that stand still, and those that a leaving
     /// worker can't end.
     pub(super) fn relieve(&mut self, book: &book::Book, now: Moment) {
-        let still = self.still_hosts();
+        let still = self.still_hosts(book);
         for host in &still {
             self.health.pause(*host, now.tick);
         }
@@ -35,7 +35,7 @@
             if run.state != runs::State::Running || step.lasting || step.fills {
                 continue;
             }
-            let stuck = still.contains(&run.life.host) && self.is_still(*key);
+            let stuck = still.contains(&run.life.host) && self.is_still(book, *key);
             let doomed = self.is_doomed(*key, run, now)
                 && (run.saves || self.fits_elsewhere(job, key, book, now));
             if stuck || doomed {
@@ -47,16 +47,19 @@
         }
     }
 
-    fn is_still(&self, key: model::RunKey) -> bool {
-        runs::is_still(&self.runs, key, &self.health)
+    /// Whether a run stands still. One that the book no longer holds has ended with its gang.
+    fn is_still(&self, book: &book::Book, key: model::RunKey) -> bool {
+        let task = book.jobs.get(&key.task.job).and_then(|job| job.task(key.task));
+        let is_placed = task.is_some_and(|task| matches!(task.place, job::Place::At(_)));
+        is_placed && runs::is_still(&self.runs, key, &self.health)
     }
 
     /// The hosts on which everything stands still.
-    pub(super) fn still_hosts(&self) -> BTreeSet<u32> {
+    pub(super) fn still_hosts(&self, book: &book::Book) -> BTreeSet<u32> {
         let mut still: BTreeMap<u32, bool> = BTreeMap::new();
         for (key, run) in self.runs.iter().filter(|(_, run)| run.state == runs::State::Running) {
             let so_far = still.entry(run.life.host).or_insert(true);
-            *so_far &= self.is_still(*key);
+            *so_far &= self.is_still(book, *key);
         }
         still.into_iter().filter(|(_, still)| *still).map(|(host, _)| host).collect()
     }
--- a/src/core/dispatch/runs.rs
+++ b/src/core/dispatch/runs.rs
@@ -96,15 +96,16 @@
     each.max().unwrap_or(time::Millis(0))
 }
 
-/// Whether a run stands still. A member of a gang that has done all of its own work does not while
-/// others have not.
+/// Whether a run stands still. A member of a gang that has done all of its own work waits for the
+/// others: it stands still only with all of them, and not once the gang's end is on its way.
 pub fn is_still(runs: &Runs, key: model::RunKey, health: &health::Health) -> bool {
     let Some(run) = runs.get(&key) else { return false };
-    let rest = |(_, other): (&model::RunKey, &Run)| !other.pace.is_complete();
-    if run.gang && run.pace.is_complete() && gang_of(runs, key).any(rest) {
-        return false;
+    let alone = |run: &Run| run.pace.is_still(health.speed(run.life.host));
+    if !(run.gang && run.pace.is_complete()) {
+        return alone(run);
     }
-    run.pace.is_still(health.speed(run.life.host))
+    let mut members = of_step(runs, key.task).filter(|(other, _)| other.run == key.run);
+    members.all(|(_, member)| member.is_held() && alone(member))
 }
 
 /// The keys of the runs of one job.
--- a/tests/testsuite/dispatch_policy.rs
+++ b/tests/testsuite/dispatch_policy.rs
@@ -283,6 +283,26 @@
     assert_eq!(stopped.len(), 2);
 }
 
+/// The gang is done, and its fast member's worker has not listed that yet.
+#[rstest::rstest]
+#[case::rest_complete(None)]
+#[case::rest_ended(Some(model::How::Done))]
+fn gang_that_has_just_ended_is_left_alone(#[case] end: Option<model::How>) {
+    let mut world = flow::World::with_workers(2);
+    let members = uneven_gang(&mut world, 19, (50, 5));
+    let (host, task, run) = members[1].clone();
+    world.now += 500;
+    match end {
+        Some(how) => {
+            let ended = flow::finished(1, &task, run, how);
+            world.report(flow::worker(host, 1), &[], &[ended]);
+        }
+        None => world.report(flow::worker(host, 1), &[(task, run, 100)], &[]),
+    }
+    world.tick(1);
+    assert_eq!(world.take_stops(), []);
+}
+
 #[test]
 fn member_that_waits_for_the_rest_of_its_gang_does_not_end_soon() {
     let mut world = flow::World::with_workers(2);
