Ask and look for sites once for each step that is placed

Cause: dispatch::plan made the same Ask and list of sites up to four times a step, fit::sites sorted the speeds of all workers once for each worker, and the ground of a plan walked a whole gang once for each of its members.

Ruled out: sharing one list of sites among all steps of a pass. What is kept for others differs by rank and owner, and constraints differ.

Change: a Turn holds a step with its job and Ask, and one list of sites from which placements take their room; the limit of slow workers is computed once; the rest and loss of a gang are kept while the ground is laid out; reclaim::plan and ::wait are one function with a Way.

The tests of dispatch pass unchanged but for the form of the question for slow workers.

--- a/src/core/dispatch/fit.rs
+++ b/src/core/dispatch/fit.rs
@@ -43,6 +43,14 @@
     pub doubted: bool,
 }
 
+impl Site {
+    /// Takes the room of one task of the step off it.
+    pub fn take(&mut self, room: Room) {
+        self.free = self.free.minus(room);
+        self.spread = self.spread.saturating_sub(1);
+    }
+}
+
 /// Room that is kept for a step, by host.
 pub type Kept = BTreeMap<u32, Room>;
 
@@ -88,6 +96,7 @@
     now: order::Moment,
 ) -> Vec<Site> {
     let mut sites = Vec::new();
+    let slow = health.slow_below();
     for (host, worker) in workers {
         let Some(said) = &worker.said else { continue };
         let constraint = ask.step.constraint.as_ref();
@@ -104,7 +113,7 @@
             free: worker.free().minus(kept),
             capacity: said.capacity,
             spread: if ask.step.spread == 0 { u32::MAX } else { ask.step.spread },
-            slow: health.is_slow(*host),
+            slow: health.speed(*host) < slow,
             doubted: health.is_doubted(*host),
         });
     }
@@ -187,8 +196,7 @@
     while chosen.len() < count {
         let fits = ground.iter_mut().filter(|site| site.spread > 0 && site.free.holds(need));
         let Some(site) = fits.min_by_key(|site| cost(site, ask, need)) else { break };
-        site.free = site.free.minus(need);
-        site.spread -= 1;
+        site.take(need);
         chosen.push((site.host, site.life));
     }
     chosen
--- a/src/core/dispatch/health.rs
+++ b/src/core/dispatch/health.rs
@@ -177,15 +177,18 @@
         self.workers.get(&host).map_or(1.0, |worker| worker.speed.exp())
     }
 
-    /// Whether the worker is clearly slower than the fleet usually is.
-    pub fn is_slow(&self, host: u32) -> bool {
-        self.speed(host) < self.usual() * SLOW
+    /// The speed below which a worker is clearly slower than the fleet usually is.
+    pub fn slow_below(&self) -> f64 {
+        self.usual() * SLOW
     }
 
     /// The speed that half of the workers reach.
     fn usual(&self) -> f64 {
         let mut speeds: Vec<f64> = self.workers.values().map(|worker| worker.speed).collect();
-        speeds.sort_by(f64::total_cmp);
-        speeds.get(speeds.len() / 2).map_or(1.0, |speed| speed.exp())
+        if speeds.is_empty() {
+            return 1.0;
+        }
+        let middle = speeds.len() / 2;
+        speeds.select_nth_unstable_by(middle, f64::total_cmp).1.exp()
     }
 }
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -31,6 +31,28 @@
 /// The highest rank for which room is kept: the queues right behind the urgent ones.
 const KEPT_RANK: u32 = queue::URGENT + 1;
 
+/// A waiting step's turn to be placed.
+#[derive(Clone, Copy)]
+struct Turn<'a> {
+    job: &'a job::Job,
+    waiting: queue::Waiting,
+    ask: fit::Ask<'a>,
+}
+
+impl Turn<'_> {
+    fn is_urgent(&self) -> bool {
+        self.waiting.rank <= queue::URGENT
+    }
+
+    /// Whether room may be kept for the step as it comes free.
+    fn is_starved(&self) -> bool {
+        self.waiting.rank <= KEPT_RANK
+            && (self.is_urgent() || self.ask.waited >= STARVED)
+            && self.ask.crowded
+            && self.waiting.prospect != queue::Prospect::Spent
+    }
+}
+
 impl lead::Dispatch {
     /// Places what waits, in its order, and makes room for urgent work.
     pub(super) fn plan(&mut self, book: &book::Book, now: Moment) {
@@ -49,9 +71,10 @@
                 continue;
             }
             let alone = queue.iter().all(|other| other.first.job == waiting.first.job);
-            let limit = self.share(book, job, &waiting, alone, now);
+            let turn = Turn { job, waiting, ask: self.ask(book, job, &waiting, now) };
+            let limit = self.share(turn, alone);
             let fair = &indices[..limit.min(indices.len())];
-            placements.extend(self.serve(book, job, &waiting, fair, now));
+            placements.extend(self.serve(book, turn, fair, now));
         }
         self.idle = idle;
         if !placements.is_empty() {
@@ -61,63 +84,56 @@
 
     /// How many more tasks of a step may start: long ones take no more than half of a pool beyond
     /// their guarantee while other jobs wait, and very long ones at no time, since others will come.
-    pub(super) fn share(
-        &self,
-        book: &book::Book,
-        job: &job::Job,
-        waiting: &queue::Waiting,
-        alone: bool,
-        now: Moment,
-    ) -> usize {
-        let ask = self.ask(book, job, waiting, now);
-        let (step, need) = (ask.step, ask.step.accelerators);
+    fn share(&self, turn: Turn<'_>, alone: bool) -> usize {
+        let (step, need) = (turn.ask.step, turn.ask.step.accelerators);
         let long = if alone { VERY_LONG } else { LONG };
         let short = u64::from(step.estimate) < long.0;
-        if short || need == 0 || step.gang || waiting.rank == queue::GUARANTEED {
+        if short || need == 0 || step.gang || turn.waiting.rank == queue::GUARANTEED {
             return usize::MAX;
         }
         let workers = self.workers.values().filter_map(|worker| worker.said.as_ref());
-        let workers = workers.filter(|said| said.pool == ask.pool);
+        let workers = workers.filter(|said| said.pool == turn.ask.pool);
         let all: u32 = workers.map(|said| said.capacity.accelerators).sum();
-        let held = runs::of_step(&self.runs, waiting.first).filter(|(_, run)| run.is_held());
+        let held = runs::of_step(&self.runs, turn.waiting.first).filter(|(_, run)| run.is_held());
         let held = held.count() as u32 * need;
         ((all / 2).saturating_sub(held) / need) as usize
     }
 
     /// Places tasks of a step. Urgent ones get sound, fast workers, if need be at the expense of
     /// lower work; others only where there is no such room.
-    pub(super) fn serve(
+    fn serve(
         &mut self,
         book: &book::Book,
-        job: &job::Job,
-        waiting: &queue::Waiting,
+        turn: Turn<'_>,
         indices: &[u32],
         now: Moment,
     ) -> Vec<command::Placement> {
-        let urgent = waiting.rank <= queue::URGENT;
-        let mut placed = self.place_step(book, job, waiting, indices, urgent, now);
+        let owner = turn.waiting.first;
+        let mut sites = self.sites(turn.ask, &turn.waiting, now);
+        let mut placed = self.place(turn, &mut sites, indices, turn.is_urgent(), now);
         let rest = &indices[placed.len()..];
         if rest.is_empty() {
-            self.claims.remove(&waiting.first);
-            return placed;
-        }
-        if self.claims.contains_key(&waiting.first) {
+            self.claims.remove(&owner);
             return placed;
         }
-        if urgent && self.make_room(book, job, waiting, rest, now) {
+        if self.claims.contains_key(&owner) {
             return placed;
         }
-        if urgent {
-            placed.extend(self.place_step(book, job, waiting, rest, false, now));
+        if turn.is_urgent() {
+            if self.make_room(book, turn, &sites, rest.len(), now) {
+                return placed;
+            }
+            placed.extend(self.place(turn, &mut sites, rest, false, now));
         }
-        if placed.len() < indices.len() {
-            self.keep_room(book, job, waiting, &indices[placed.len()..], now);
+        let rest = &indices[placed.len()..];
+        if !rest.is_empty() && turn.is_starved() {
+            self.keep_room(turn, &sites, rest.len(), now);
         }
         placed
     }
 
     /// The tasks of a step that wait and have no run on its way.
-    pub(super) fn unplaced(&self, job: &job::Job, first: model::TaskKey) -> Vec<u32> {
+    fn unplaced(&self, job: &job::Job, first: model::TaskKey) -> Vec<u32> {
         let busy: BTreeSet<u32> =
             runs::of_step(&self.runs, first).map(|(key, _)| key.task.index).collect();
         let occurrence = &job.occurrences[&first.occurrence];
@@ -127,29 +143,32 @@
         free.map(|(_, index)| index).collect()
     }
 
-    pub(super) fn place_step(
+    /// Places tasks of a step on some of the sites, and takes their room off those. A choosy step
+    /// leaves out slow and doubted ones.
+    fn place(
         &mut self,
-        book: &book::Book,
-        job: &job::Job,
-        waiting: &queue::Waiting,
+        turn: Turn<'_>,
+        sites: &mut [fit::Site],
         indices: &[u32],
         choosy: bool,
         now: Moment,
     ) -> Vec<command::Placement> {
-        let step = job.step(waiting.first.step);
-        let ask = self.ask(book, job, waiting, now);
-        let mut sites = self.sites(ask, waiting, now);
-        sites.retain(|site| !(choosy && (site.slow || site.doubted)));
-        let choice = fit::choose(&sites, ask, indices.len());
+        let Turn { job, waiting, ask } = turn;
+        let open = sites.iter().filter(|site| !(choosy && (site.slow || site.doubted)));
+        let open: Vec<_> = open.cloned().collect();
+        let choice = fit::choose(&open, ask, indices.len());
         let mut placements = Vec::new();
         let number = next_run(job, waiting.first, indices);
         for (index, (host, life)) in indices.iter().zip(choice) {
             let task = model::TaskKey { index: *index, ..waiting.first };
             let own = job.task(task).map_or(0, |task| task.run) + 1;
-            let run = if step.gang { number } else { own };
+            let run = if ask.step.gang { number } else { own };
             let key = model::RunKey { task, run };
             let state = runs::State::Proposed;
             let placed = lead::run_of(job, key, life, state, waiting.rank, now);
+            if let Some(site) = sites.iter_mut().find(|site| site.host == host) {
+                site.take(placed.room);
+            }
             if let Some(worker) = self.workers.get_mut(&host) {
                 worker.taken.insert(key, placed.room);
             }
@@ -182,7 +201,7 @@
     }
 
     /// Whether more than half of a pool's accelerators are taken.
-    pub(super) fn is_crowded(&self, pool: &str) -> bool {
+    fn is_crowded(&self, pool: &str) -> bool {
         let (mut free, mut all) = (0, 0);
         for worker in self.workers.values() {
             let Some(said) = worker.said.as_ref().filter(|said| said.pool == pool) else {
@@ -224,53 +243,32 @@
     }
 
     /// Stops lower work so that urgent tasks fit. False if that is not worth it, or not needed.
-    pub(super) fn make_room(
+    fn make_room(
         &mut self,
         book: &book::Book,
-        job: &job::Job,
-        waiting: &queue::Waiting,
-        rest: &[u32],
+        turn: Turn<'_>,
+        sites: &[fit::Site],
+        count: usize,
         now: Moment,
     ) -> bool {
-        if waiting.prospect > queue::Prospect::InTime {
-            return false;
-        }
-        let ask = self.ask(book, job, waiting, now);
-        let sites = self.sites(ask, waiting, now);
-        let view = self.view(waiting.rank, now);
-        let Some(plan) = reclaim::plan(&sites, view, ask, rest.len()) else { return false };
-        if !plan.waits {
+        if turn.waiting.prospect > queue::Prospect::InTime {
             return false;
         }
+        let view = self.view(turn.waiting.rank, now);
+        let plan = reclaim::plan(sites, view, turn.ask, count, reclaim::Way::Stop);
+        let Some(plan) = plan.filter(|plan| plan.waits) else { return false };
         for key in &plan.victims {
             self.stop(book, *key, order::Why::Displaced, now);
         }
-        self.claim(waiting, plan.kept, now);
+        self.claim(&turn.waiting, plan.kept, now);
         true
     }
 
     /// Keeps room as it comes free for a step that smaller or lower work would starve.
-    pub(super) fn keep_room(
-        &mut self,
-        book: &book::Book,
-        job: &job::Job,
-        waiting: &queue::Waiting,
-        rest: &[u32],
-        now: Moment,
-    ) {
-        let ask = self.ask(book, job, waiting, now);
-        let starved = waiting.rank <= queue::URGENT || ask.waited >= STARVED;
-        if waiting.rank > KEPT_RANK
-            || !starved
-            || !ask.crowded
-            || waiting.prospect == queue::Prospect::Spent
-        {
-            return;
-        }
-        let sites = self.sites(ask, waiting, now);
-        let view = self.view(waiting.rank, now);
-        if let Some(plan) = reclaim::wait(&sites, view, ask, rest.len()) {
-            self.claim(waiting, plan.kept, now);
+    fn keep_room(&mut self, turn: Turn<'_>, sites: &[fit::Site], count: usize, now: Moment) {
+        let view = self.view(turn.waiting.rank, now);
+        if let Some(plan) = reclaim::plan(sites, view, turn.ask, count, reclaim::Way::Wait) {
+            self.claim(&turn.waiting, plan.kept, now);
         }
     }
 
--- a/src/core/dispatch/reclaim.rs
+++ b/src/core/dispatch/reclaim.rs
@@ -61,30 +61,16 @@
 
 /// How room comes free.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Way {
+pub enum Way {
     /// Lower work is stopped for it.
     Stop,
     /// Whatever runs there ends by itself.
     Wait,
 }
 
-/// Plans room for tasks of a step at the expense of lower work: for all `count` of a gang, for as
-/// many as it is worth for others. None if there is no such room.
-pub fn plan(sites: &[fit::Site], view: View<'_>, ask: fit::Ask<'_>, count: usize) -> Option<Plan> {
-    let mut plan = best(sites, view, ask, count, Way::Stop)?;
-    plan.waits = !plan.victims.is_empty();
-    plan.victims.retain(|key| view.runs.get(key).is_some_and(|run| !ends_soon(*key, run, view)));
-    Some(plan)
-}
-
-/// Plans where to keep room for tasks of a step as it comes free, so that smaller work does not
-/// take it up time and again.
-pub fn wait(sites: &[fit::Site], view: View<'_>, ask: fit::Ask<'_>, count: usize) -> Option<Plan> {
-    let plan = best(sites, view, ask, count, Way::Wait)?;
-    Some(Plan { victims: BTreeSet::new(), waits: true, ..plan })
-}
-
-fn best(
+/// Plans room for tasks of a step: for all `count` of a gang, for as many as it is worth for others.
+/// None if there is no such room.
+pub fn plan(
     sites: &[fit::Site],
     view: View<'_>,
     ask: fit::Ask<'_>,
@@ -94,7 +80,14 @@
     let sites = fit::near(sites, ask);
     let grounds = fit::grounds(&sites, ask, count);
     let plans = grounds.iter().filter_map(|ground| plan_on(ground, view, ask, count, way));
-    plans.min_by_key(|plan| plan.cost)
+    let mut plan = plans.min_by_key(|plan| plan.cost)?;
+    plan.waits = way == Way::Wait || !plan.victims.is_empty();
+    let ends_soon = |key: &model::RunKey| {
+        let running = view.runs.get(key).is_some_and(|run| run.state == runs::State::Running);
+        running && runs::remaining(view.runs, *key, view.health, view.now.tick) <= SOON
+    };
+    plan.victims.retain(|key| way == Way::Stop && !ends_soon(key));
+    Some(plan)
 }
 
 fn plan_on(
@@ -119,8 +112,7 @@
         plan.cost += cost;
         ground.clear(host, need, &mut plan.victims);
         let site = ground.sites.get_mut(&host)?;
-        site.free = site.free.minus(need);
-        site.spread -= 1;
+        site.take(need);
         let kept = plan.kept.entry(host).or_default();
         *kept = kept.plus(need);
     }
@@ -135,6 +127,25 @@
     key: model::RunKey,
 }
 
+/// What becomes of a run with all that falls with it.
+#[derive(Clone, Copy)]
+struct Fate {
+    /// How long it still takes.
+    rest: time::Millis,
+    /// What stopping it throws away, in core milliseconds.
+    loss: u64,
+}
+
+impl Fate {
+    fn of(key: model::RunKey, view: View<'_>) -> Self {
+        let members = runs::gang_of(view.runs, key);
+        Self {
+            rest: runs::remaining(view.runs, key, view.health, view.now.tick),
+            loss: members.map(|(_, member)| loss(member, view)).sum(),
+        }
+    }
+}
+
 struct Ground<'a> {
     sites: BTreeMap<u32, fit::Site>,
     runs: &'a runs::Runs,
@@ -146,19 +157,23 @@
     fn new(sites: &[fit::Site], view: View<'a>, way: Way) -> Self {
         let mut stoppable: BTreeMap<u32, Vec<Stoppable>> = BTreeMap::new();
         let held = [runs::State::Ordered, runs::State::Running];
+        let mut gangs = BTreeMap::new();
         for (key, run) in view.runs.iter() {
             let stopping = run.state == runs::State::Stopping;
             let spared = way == Way::Stop && run.rank <= view.rank;
             if !stopping && (spared || !held.contains(&run.state)) {
                 continue;
             }
-            let free = stopping || ends_soon(*key, run, view);
+            let fate = if run.gang {
+                *gangs.entry(key.gang()).or_insert_with(|| Fate::of(*key, view))
+            } else {
+                Fate::of(*key, view)
+            };
+            let free = stopping || (run.state == runs::State::Running && fate.rest <= SOON);
             let cost = match way {
                 _ if free => 0,
-                Way::Stop => {
-                    runs::gang_of(view.runs, *key).map(|(_, member)| loss(member, view)).sum()
-                }
-                Way::Wait => remaining(*key, view).0,
+                Way::Stop => fate.loss,
+                Way::Wait => fate.rest.0,
             };
             stoppable.entry(run.life.host).or_default().push(Stoppable { cost, key: *key });
         }
@@ -221,14 +236,6 @@
     }
 }
 
-fn ends_soon(key: model::RunKey, run: &runs::Run, view: View<'_>) -> bool {
-    run.state == runs::State::Running && remaining(key, view) <= SOON
-}
-
-fn remaining(key: model::RunKey, view: View<'_>) -> time::Millis {
-    runs::remaining(view.runs, key, view.health, view.now.tick)
-}
-
 /// The work that stopping a run throws away, in core milliseconds.
 fn loss(run: &runs::Run, view: View<'_>) -> u64 {
     let age = view.now.tick - run.since;
--- a/src/core/workflow/model.rs
+++ b/src/core/workflow/model.rs
@@ -143,6 +143,13 @@
     }
 }
 
+impl RunKey {
+    /// The key of a gang: that of its first member.
+    pub fn gang(self) -> Self {
+        Self { task: TaskKey { index: 0, ..self.task }, ..self }
+    }
+}
+
 impl Schedule {
     /// When an occurrence is due, in milliseconds since 1970-01-01 UTC.
     pub fn due(&self, occurrence: u32) -> u64 {
--- a/tests/testsuite/dispatch_policy.rs
+++ b/tests/testsuite/dispatch_policy.rs
@@ -208,7 +208,8 @@
             health.ran(host, "queue", if host == 4 { 0.9 } else { 2.0 });
         }
     }
-    let slow: Vec<_> = (1..=4).filter(|host| health.is_slow(*host)).collect();
+    let slow = |host: &u32| health.speed(*host) < health.slow_below();
+    let slow: Vec<_> = (1..=4).filter(slow).collect();
     assert_eq!(slow, [4]);
 }
 
