Tell the story of a request from the logs of all processes

Cause: a request's identifier led to its cause by grep, by hand and in the order of clocks that differ; a refusal did not tell the configuration's version, and a displaced run not for which job.

Change: hemlockcleat trace ID reads logs of either format from files or standard input, chooses the request's lines and their background, orders them by cause, names clocks that contradict it, and lists what went against the request, as text or JSON.

--- a/src/cli/error.rs
+++ b/src/cli/error.rs
@@ -63,6 +63,10 @@
         Pending(phase: String) {
             display("the request has not ended: {}; wait with --wait or ask again", phase)
         }
+        /// No line of the logs names the request.
+        Untold(id: String) {
+            display("no line names {}; give the logs of all entries, control replicas and agents", id)
+        }
         /// The demo failed.
         Demo(detail: String) {
             display("the demo failed: {}", detail)
@@ -100,9 +104,11 @@
             Error::Unanswered(_) => EXIT_MAY_HAVE_RUN,
             Error::Refused(_, refusal) => verdict_code(&refusal.verdict),
             Error::Pending(_) => EXIT_PENDING,
-            Error::Response(..) | Error::Demo(_) | Error::StandIn(_) | Error::System(_) => {
-                EXIT_FAILED
-            }
+            Error::Response(..)
+            | Error::Untold(_)
+            | Error::Demo(_)
+            | Error::StandIn(_)
+            | Error::System(_) => EXIT_FAILED,
         }
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -21,6 +21,7 @@
 pub mod status;
 pub mod store;
 pub mod ticket;
+pub mod trace;
 pub mod worker;
 
 /// The entry that is asked where none is named.
@@ -92,6 +93,7 @@
         .subcommand(status::cli())
         .subcommand(store::cli())
         .subcommand(ticket::cli())
+        .subcommand(trace::cli())
         .subcommand(worker::cli());
     // The options' own text would replace this one.
     Globals::augment_args(command)
@@ -146,6 +148,7 @@
         Some(("status", _)) => status::exec(&context).await,
         Some(("store", args)) => store::exec(&context, args),
         Some(("ticket", args)) => ticket::exec(&context, args).await,
+        Some(("trace", args)) => trace::exec(&context, args),
         Some(("worker", args)) => worker::exec(&context, args).await,
         _ => Err(error::Error::Usage("name a subcommand; see --help".to_owned())),
     }
--- a/src/cli/print.rs
+++ b/src/cli/print.rs
@@ -28,6 +28,11 @@
     Ok(())
 }
 
+/// Prints several lines.
+pub fn text(text: &str) -> Result<(), error::Error> {
+    text.lines().try_for_each(|shown| line(&shown.chars().map(visible).collect::<String>()))
+}
+
 /// Prints a table with columns as wide as their longest cell.
 pub fn table(heads: &[&str], rows: &[Vec<String>]) -> Result<(), error::Error> {
     let mut widths: Vec<usize> = heads.iter().map(|head| head.chars().count()).collect();
--- a/src/control/dispatch_loop.rs
+++ b/src/control/dispatch_loop.rs
@@ -85,8 +85,8 @@
             }));
         }
         order::Effect::Stopping(key, why) => {
-            metrics::counter!(names::RUNS_STOPPED, "why" => format!("{why:?}")).increment(1);
-            event::control::RUN_STOPPING.log(format_args!("{key} why={why:?}"));
+            metrics::counter!(names::RUNS_STOPPED, "why" => why.word()).increment(1);
+            event::control::RUN_STOPPING.log(format_args!("{key} why={why}"));
         }
         order::Effect::Order(host, order) => {
             let runners = proposer.shared.runners.borrow();
--- a/src/control/gate_session.rs
+++ b/src/control/gate_session.rs
@@ -121,16 +121,10 @@
     address: gate::Address,
     workflow: workflow::model::Workflow,
 ) -> gate::Reply {
-    let target = match resolve(proposer, &address) {
+    let target = match admit(proposer, &address, &workflow) {
         Ok(target) => target,
-        Err(reply) => return reply,
+        Err(reply) => return refused(proposer, &address, reply),
     };
-    if target.id.is_empty() || target.id.contains(['/', '.']) {
-        return gate::Reply::NoQueue;
-    }
-    if let Some(fault) = workflow.fault() {
-        return gate::Reply::Invalid(fault);
-    }
     let submission = workflow::command::Submission {
         place: target.queue.place(),
         id: target.id,
@@ -151,6 +145,41 @@
     }
 }
 
+fn admit(
+    proposer: &proposer::Proposer,
+    address: &gate::Address,
+    workflow: &workflow::model::Workflow,
+) -> Result<Target, gate::Reply> {
+    let target = resolve(proposer, address)?;
+    if target.id.is_empty() || target.id.contains(['/', '.']) {
+        return Err(gate::Reply::NoQueue);
+    }
+    workflow.fault().map_or(Ok(target), |fault| Err(gate::Reply::Invalid(fault)))
+}
+
+/// Logs a refusal with the version of the configuration that it rests on.
+fn refused(
+    proposer: &proposer::Proposer,
+    address: &gate::Address,
+    reply: gate::Reply,
+) -> gate::Reply {
+    let why = match &reply {
+        gate::Reply::NoQueue => "no queue",
+        gate::Reply::NoCredential => "no credential",
+        gate::Reply::NoConfiguration => "no configuration",
+        gate::Reply::Invalid(fault) => fault,
+        // This replica does not lead, and so decides nothing.
+        _ => return reply,
+    };
+    let ledger = proposer.shared.ledger.borrow();
+    let version = ledger.workflows.directory.as_ref().map_or(0, |directory| directory.version);
+    event::control::JOB_REFUSED.log(format_args!(
+        "host={} path={} config={version} why={why}",
+        address.host, address.path
+    ));
+    reply
+}
+
 /// What decides on a job, in words for the log.
 fn described(submission: &workflow::command::Submission) -> String {
     let steps = submission.workflow.steps.iter().map(described_step);
--- a/src/core/dispatch/order.rs
+++ b/src/core/dispatch/order.rs
@@ -1,5 +1,6 @@
 //! What agents report of their workers, and what they are ordered to do.
 
+use crate::core::ids;
 use crate::core::time;
 use crate::core::workflow::command;
 use crate::core::workflow::model;
@@ -147,8 +148,8 @@
         JobEnded,
         /// Another member of its gang has ended.
         GangBroken,
-        /// Its room is needed for more urgent work.
-        Displaced,
+        /// Its room is needed for a more urgent job.
+        Displaced(ids::JobKey),
         /// It stands still.
         Still,
         /// Its worker leaves before it can end.
@@ -164,6 +165,29 @@
     }
 }
 
+impl Why {
+    /// The reason in a word.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::JobEnded => "JobEnded",
+            Self::GangBroken => "GangBroken",
+            Self::Displaced(_) => "Displaced",
+            Self::Still => "Still",
+            Self::Leaving => "Leaving",
+        }
+    }
+}
+
+impl std::fmt::Display for Why {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.word())?;
+        if let Self::Displaced(job) = self {
+            write!(f, " by={job}")?;
+        }
+        Ok(())
+    }
+}
+
 impl Room {
     /// What a task of a step occupies.
     pub fn of(step: &model::Step) -> Self {
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -258,7 +258,7 @@
         let plan = reclaim::plan(sites, view, turn.ask, count, reclaim::Way::Stop);
         let Some(plan) = plan.filter(|plan| plan.waits) else { return false };
         for key in &plan.victims {
-            self.stop(book, *key, order::Why::Displaced, now);
+            self.stop(book, *key, order::Why::Displaced(turn.waiting.first.job), now);
         }
         self.claim(&turn.waiting, plan.kept, now);
         true
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -7,3 +7,4 @@
 pub mod local;
 pub mod standin;
 pub mod store;
+pub mod trace;
--- /dev/null
+++ b/src/ops/trace/story.rs
@@ -0,0 +1,104 @@
+//! The story of a request, as text or JSON.
+
+use std::fmt::Write as _;
+
+use crate::ops::trace::finding;
+use crate::ops::trace::line;
+use crate::ops::trace::select;
+use crate::ops::trace::sequence;
+use crate::telemetry::event;
+
+/// The story of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Story {
+    /// Its identifier.
+    pub id: String,
+    /// Its lines, in their order by cause.
+    pub lines: Vec<select::Chosen>,
+    /// What went against it.
+    pub findings: Vec<finding::Finding>,
+    /// Clocks that contradicted the order.
+    pub skews: Vec<sequence::Skew>,
+}
+
+impl Story {
+    /// Tells the story of a request from the lines of all processes, in any order of processes.
+    pub fn tell(lines: Vec<line::Line>, id: &str) -> Self {
+        let (lines, skews) = sequence::sequence(select::select(lines, id));
+        let findings = finding::find(&lines);
+        Self { id: id.to_owned(), lines, findings, skews }
+    }
+
+    /// The final phase, and how many milliseconds after its acceptance it came.
+    pub fn outcome(&self) -> Option<(String, u64)> {
+        let mut lines = self.lines.iter().map(|chosen| &chosen.line);
+        let end = lines.find(|line| line.is(event::control::JOB_ENDED))?;
+        Some((end.get("phase")?.to_owned(), end.number("after_ms")?))
+    }
+
+    /// Whether control accepted it.
+    pub fn is_accepted(&self) -> bool {
+        self.lines.iter().any(|chosen| chosen.line.is(event::control::JOB_ACCEPTED))
+    }
+
+    /// The story for people: its lines with the time since the first, then what went against the
+    /// request. A `+` marks background.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        let begin = self.begin();
+        for chosen in &self.lines {
+            let mark = if chosen.background { '+' } else { ' ' };
+            let at = (chosen.line.at - begin) as f64 / 1000.0;
+            let source = chosen.line.source.as_deref().unwrap_or("-");
+            let _ = writeln!(text, "{at:9.3} {mark} {source}  {}", chosen.line.text);
+        }
+        let _ = match self.outcome() {
+            Some((phase, after)) => writeln!(text, "\noutcome: {phase} after {after} ms"),
+            None if self.is_accepted() => writeln!(text, "\noutcome: these logs hold no end of it"),
+            None => writeln!(text, "\noutcome: it was not accepted, by these logs"),
+        };
+        for finding in &self.findings {
+            let _ = writeln!(text, "- {finding}");
+        }
+        for skew in &self.skews {
+            let sequence::Skew { behind, ahead, millis } = skew;
+            let _ = writeln!(text, "- the clock of {behind} is {millis} ms or more behind {ahead}");
+        }
+        text.trim_end().to_owned()
+    }
+
+    /// The story for programs.
+    pub fn to_json(&self) -> serde_json::Value {
+        let begin = self.begin();
+        let lines = self.lines.iter().map(|chosen| {
+            let line = &chosen.line;
+            let fields = line.fields().iter().cloned();
+            let fields = fields.map(|(name, value)| (name, serde_json::Value::String(value)));
+            serde_json::json!({
+                "after_ms": line.at - begin,
+                "source": line.source,
+                "event": line.event,
+                "text": line.text,
+                "fields": serde_json::Map::from_iter(fields),
+                "background": chosen.background,
+            })
+        });
+        let lines: Vec<_> = lines.collect();
+        let outcome = self.outcome();
+        let outcome =
+            outcome.map(|(phase, after)| serde_json::json!({ "phase": phase, "after_ms": after }));
+        serde_json::json!({
+            "id": self.id,
+            "accepted": self.is_accepted(),
+            "outcome": outcome,
+            "lines": lines,
+            "findings": self.findings,
+            "skews": self.skews,
+        })
+    }
+
+    fn begin(&self) -> i64 {
+        let own = self.lines.iter().filter(|chosen| !chosen.background);
+        own.map(|chosen| chosen.line.at).min().unwrap_or(0)
+    }
+}
--- a/src/telemetry/event/control.rs
+++ b/src/telemetry/event/control.rs
@@ -24,6 +24,7 @@
     ORDER_DROPPED,
     JOB_ENDED,
     RUN_STOPPING,
+    JOB_REFUSED,
 ];
 
 /// A committed entry can't be decoded; it was written by another version.
@@ -66,3 +67,5 @@
 pub const JOB_ENDED: Event = Event::new(218, log::Level::Info, "job ended");
 /// A run of a task is to stop, and why.
 pub const RUN_STOPPING: Event = Event::new(219, log::Level::Info, "run to be stopped");
+/// A submission or a cancel was refused, by a version of the configuration.
+pub const JOB_REFUSED: Event = Event::new(220, log::Level::Info, "job refused");
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -40,6 +40,7 @@
 #[case::missing_role(&["check-settings", "x.json"], 2, "--role")]
 #[case::no_settings(&["check-settings", "--role", "entry", "/nonexistent"], 2, "/nonexistent")]
 #[case::no_ticket(&["ticket", "apply", "/nonexistent"], 2, "/nonexistent")]
+#[case::no_log(&["trace", "ab12", "/nonexistent"], 2, "/nonexistent")]
 #[case::bad_adjacency(&["request", "submit", "--adjacency", "near", "k"], 2, "data-center")]
 fn usage_refused(#[case] args: &[&str], #[case] code: i32, #[case] words: &str) {
     let output = command("", args).output().expect("the program runs");
@@ -56,6 +57,21 @@
     assert!(text(&output.stdout).contains("Examples:"));
 }
 
+#[rstest]
+#[case::told("ab12", 0, "outcome: Completed after 30 ms")]
+#[case::unknown("cd34", 1, "no line names cd34")]
+fn trace_of_a_file(#[case] id: &str, #[case] code: i32, #[case] words: &str) {
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("control-1.log");
+    let line = "2026-03-02T10:00:01.500+00:00 INFO  E218 job ended: job=7 id=ab12 \
+                phase=Completed after_ms=30\n";
+    std::fs::write(&file, line).expect("the file is written");
+    let output = command("", &["trace", id]).arg(&file).output().expect("the program runs");
+    assert_eq!(output.status.code(), Some(code));
+    let shown = format!("{}{}", text(&output.stdout), text(&output.stderr));
+    assert!(shown.contains(words), "{shown}");
+}
+
 #[rstest]
 #[case::bash("bash")]
 #[case::zsh("zsh")]
@@ -73,6 +89,7 @@
         "status",
         "store",
         "ticket",
+        "trace",
         "worker",
     ];
     for name in subcommands {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -47,6 +47,7 @@
 mod store_disk;
 mod support;
 mod telemetry;
+mod trace;
 mod verdict;
 mod whole;
 mod wire;
