Use the room that was made on a poor worker at once

Cause: a plan may stop lower work on a slow or doubted worker, but the task it was made for then refused that worker, being choosy, until the claim ran out 1.5 s later. Likewise a claim that only waits kept the step from taking poor workers that were free.

Ruled out: cut workers and orders that were lost; the stops were answered within 0.1 s.

Change: a claim tells whether room is made for it; its workers are taken whatever they are. A claim that waits no longer keeps a step from free poor workers. Beyond its guarantee an urgent step stops nothing on slow workers, where it would be late all the same.

Tests: urgent_work_takes_the_room_that_was_made_on_a_doubted_worker, urgent_work_stops_lower_work_on_a_slow_worker; both were red before.

--- a/src/core/dispatch/lead.rs
+++ b/src/core/dispatch/lead.rs
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 pub(super) struct Claim {
     pub(super) kept: fit::Kept,
+    /// Whether lower work is being stopped for it.
+    pub(super) made: bool,
     /// The rank of the step; the room is kept from this rank on and from higher ones.
     pub(super) rank: u32,
     pub(super) until: time::Tick,
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -112,21 +112,23 @@
         let mut sites = self.sites(turn.ask, &turn.waiting, now);
         let mut placed = self.place(turn, &mut sites, indices, turn.is_urgent(), now);
         let rest = &indices[placed.len()..];
+        let claim = self.claims.get(&owner);
         if rest.is_empty() {
             self.claims.remove(&owner);
             return placed;
         }
-        if self.claims.contains_key(&owner) {
+        if claim.is_some_and(|claim| claim.made) {
             return placed;
         }
+        let claimed = claim.is_some();
         if turn.is_urgent() {
-            if self.make_room(book, turn, &sites, rest.len(), now) {
+            if !claimed && self.make_room(book, turn, &sites, rest.len(), now) {
                 return placed;
             }
             placed.extend(self.place(turn, &mut sites, rest, false, now));
         }
         let rest = &indices[placed.len()..];
-        if !rest.is_empty() && turn.is_starved() {
+        if !rest.is_empty() && !claimed && turn.is_starved() {
             self.keep_room(turn, &sites, rest.len(), now);
         }
         placed
@@ -144,7 +146,7 @@
     }
 
     /// Places tasks of a step on some of the sites, and takes their room off those. A choosy step
-    /// leaves out slow and doubted ones.
+    /// leaves out slow and doubted ones, but for those where room was made for it.
     fn place(
         &mut self,
         turn: Turn<'_>,
@@ -154,7 +156,10 @@
         now: Moment,
     ) -> Vec<command::Placement> {
         let Turn { job, waiting, ask } = turn;
-        let open = sites.iter().filter(|site| !(choosy && (site.slow || site.doubted)));
+        let claim = self.claims.get(&waiting.first).filter(|claim| claim.made);
+        let made = |site: &fit::Site| claim.is_some_and(|c| c.kept.contains_key(&site.host));
+        let sound = |site: &fit::Site| !site.slow && !site.doubted;
+        let open = sites.iter().filter(|site| !choosy || sound(site) || made(site));
         let open: Vec<_> = open.cloned().collect();
         let choice = fit::choose(&open, ask, indices.len());
         let mut placements = Vec::new();
@@ -254,13 +259,17 @@
         if turn.waiting.prospect > queue::Prospect::InTime {
             return false;
         }
+        // On a slow worker an urgent task is late all the same, but guaranteed ones have to begin.
+        let guaranteed = turn.waiting.rank == queue::GUARANTEED;
+        let sites = sites.iter().filter(|site| guaranteed || !site.slow);
+        let sites: Vec<_> = sites.cloned().collect();
         let view = self.view(turn.waiting.rank, now);
-        let plan = reclaim::plan(sites, view, turn.ask, count, reclaim::Way::Stop);
+        let plan = reclaim::plan(&sites, view, turn.ask, count, reclaim::Way::Stop);
         let Some(plan) = plan.filter(|plan| plan.waits) else { return false };
         for key in &plan.victims {
             self.stop(book, *key, order::Why::Displaced(turn.waiting.first.job), now);
         }
-        self.claim(&turn.waiting, plan.kept, now);
+        self.claim(&turn.waiting, plan.kept, true, now);
         true
     }
 
@@ -268,7 +277,7 @@
     fn keep_room(&mut self, turn: Turn<'_>, sites: &[fit::Site], count: usize, now: Moment) {
         let view = self.view(turn.waiting.rank, now);
         if let Some(plan) = reclaim::plan(sites, view, turn.ask, count, reclaim::Way::Wait) {
-            self.claim(&turn.waiting, plan.kept, now);
+            self.claim(&turn.waiting, plan.kept, false, now);
         }
     }
 
@@ -276,8 +285,8 @@
         reclaim::View { runs: &self.runs, health: &self.health, rank, now }
     }
 
-    fn claim(&mut self, waiting: &queue::Waiting, kept: fit::Kept, now: Moment) {
-        let claim = lead::Claim { kept, rank: waiting.rank, until: now.tick + KEPT };
+    fn claim(&mut self, waiting: &queue::Waiting, kept: fit::Kept, made: bool, now: Moment) {
+        let claim = lead::Claim { kept, made, rank: waiting.rank, until: now.tick + KEPT };
         self.claims.insert(waiting.first, claim);
     }
 }
--- a/tests/testsuite/dispatch_policy.rs
+++ b/tests/testsuite/dispatch_policy.rs
@@ -100,6 +100,36 @@
     }
 }
 
+/// A worker on which something has failed lately is the only one with lower work to stop. What was
+/// stopped there makes room for the urgent task, and so the task starts there at once.
+#[test]
+fn urgent_work_takes_the_room_that_was_made_on_a_doubted_worker() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(2, "bad", vec![flow::step(1, 1)]);
+    world.tick(1);
+    let host = 0;
+    for number in 1..=2 {
+        let (_, task, run) = world.take_starts()[0].clone();
+        let failed = flow::finished(number, &task, run, model::How::Failed);
+        world.report(flow::worker(host, 1), &[], &[failed]);
+        world.tick(1);
+    }
+    world.submit(2, "low", vec![model::Step { checkpoints: true, ..flow::step(1, 8) }]);
+    world.tick(1);
+    let (_, low, run) =
+        world.take_starts().into_iter().find(|(_, task, _)| task.id == "low").expect("it fits");
+    world.now += 1000;
+    world.report(flow::worker(host, 1), &[(low.clone(), run, 10)], &[]);
+    world.submit(0, "hi", vec![flow::step(1, 8)]);
+    world.tick(1);
+    assert_eq!(world.take_stops().len(), 1);
+    let ended = flow::finished(3, &low, run, model::How::Stopped);
+    world.report(flow::worker(host, 1), &[], &[ended]);
+    world.tick(1);
+    let started: Vec<_> = world.take_starts().into_iter().map(|(_, task, _)| task.id).collect();
+    assert_eq!(started, ["hi"]);
+}
+
 #[test]
 fn urgent_work_beyond_its_guarantee_throws_no_long_work_away() {
     // Ten seconds of eight accelerators without a checkpoint are lost with each stop.
@@ -117,6 +147,34 @@
     assert_eq!(world.take_stops(), []);
 }
 
+/// Worker 0 has half the speed of the other. Within a guarantee its room counts, since all of the
+/// job has to begin; beyond it the task would be late there all the same, and lower work lost for
+/// nothing.
+#[rstest::rstest]
+#[case::within_its_guarantee(2, &[0, 1])]
+#[case::beyond_its_guarantee(3, &[1])]
+fn urgent_work_stops_lower_work_on_a_slow_worker(#[case] tasks: u32, #[case] stopped: &[u32]) {
+    let mut health = health::Health::default();
+    for _ in 0..6 {
+        health.ran(0, "queue", 0.5);
+        health.ran(1, "queue", 1.0);
+    }
+    let mut world = flow::World::with_health(2, health);
+    world.submit(2, "low", vec![model::Step { checkpoints: true, ..flow::step(2, 8) }]);
+    world.tick(1);
+    let starts = world.take_starts();
+    assert_eq!(starts.len(), 2);
+    world.now += 1000;
+    for (host, task, run) in starts {
+        world.report(flow::worker(host, 1), &[(task, run, 10)], &[]);
+    }
+    world.submit(0, "hi", vec![flow::step(tasks, 8)]);
+    world.tick(1);
+    let mut hosts: Vec<_> = world.take_stops().into_iter().map(|(host, _, _)| host).collect();
+    hosts.sort_unstable();
+    assert_eq!(hosts, stopped);
+}
+
 #[test]
 fn lower_work_displaces_nothing() {
     let mut world = filled(2, model::Step { checkpoints: true, ..flow::step(1, 8) });
--- a/tests/testsuite/support/flow.rs
+++ b/tests/testsuite/support/flow.rs
@@ -114,7 +114,14 @@
 impl World {
     /// A world with workers on hosts 0 to `count` - 1, in racks of three.
     pub fn with_workers(count: u32) -> Self {
+        Self::with_health(count, health::Health::default())
+    }
+
+    /// The same, led by a leader that knows this of the workers.
+    pub fn with_health(count: u32, health: health::Health) -> Self {
         let mut world = Self::default();
+        let lease = time::Millis(LEASE);
+        world.dispatch = dispatch::Dispatch::new(&world.book, health, lease, moment(0));
         for host in 0..count {
             world.connect(host);
             world.report(worker(host, 1), &[], &[]);
