Show workflows to operators, and let them cancel one

Cause: operators saw the jobs of services only; a workflow could be followed by the logs of control and nowhere else.

Change: GET and DELETE /v1/workflows, with how many tasks of each step wait, are placed and are done, and where the tasks of one run; hemlockcleat workflow list, show and cancel. Control answers from its book behind the same barrier as other calls that read; a detail holds 1000 tasks at most.

Ruled out: showing workflows among jobs. Their numbers and phases differ, and one list would have to say of each line what it is.

Before and after: nothing of it existed. Tests: workflow_view:: (the book, a real control replica over sockets), cli::subcommand_done, cli::workflow_unknown, entry_contract.

Conclusion: the status page for readers does not show workflows yet.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -23,6 +23,7 @@
 pub mod ticket;
 pub mod trace;
 pub mod worker;
+pub mod workflow;
 
 /// The entry that is asked where none is named.
 const DEFAULT_ENTRY: &str = "http://127.0.0.1:8080";
@@ -94,7 +95,8 @@
         .subcommand(store::cli())
         .subcommand(ticket::cli())
         .subcommand(trace::cli())
-        .subcommand(worker::cli());
+        .subcommand(worker::cli())
+        .subcommand(workflow::cli());
     // The options' own text would replace this one.
     Globals::augment_args(command)
         .about("Operates hemlockcleat, a scheduler for multi-accelerator jobs")
@@ -150,6 +152,7 @@
         Some(("ticket", args)) => ticket::exec(&context, args).await,
         Some(("trace", args)) => trace::exec(&context, args),
         Some(("worker", args)) => worker::exec(&context, args).await,
+        Some(("workflow", args)) => workflow::exec(&context, args).await,
         _ => Err(error::Error::Usage("name a subcommand; see --help".to_owned())),
     }
 }
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -4,6 +4,7 @@
 
 use crate::control::proposer;
 use crate::control::report;
+use crate::control::workflows;
 use crate::core::ids;
 use crate::core::ledger::command;
 use crate::core::ledger::job;
@@ -11,6 +12,7 @@
 use crate::core::ledger::state;
 use crate::core::time;
 use crate::core::verdict;
+use crate::core::workflow;
 use crate::net::stream;
 use crate::telemetry::event;
 use crate::wire::common;
@@ -80,6 +82,7 @@
             }
             entry::Call::Fetch { account, key, wait } => self.fetch(&account, &key, wait).await,
             entry::Call::Ticket(ticket) => self.ticket(ticket).await,
+            entry::Call::WorkflowCancel(number) => self.cancel_workflow(number).await,
             body => {
                 self.barrier().await?;
                 self.read(body)
@@ -113,6 +116,11 @@
                 let span = (time::Wall(from), time::Wall(until));
                 entry::Reply::Hours(report::hours(&ledger, span, now))
             }
+            entry::Call::Workflows { account, limit } => {
+                let limit = limit as usize;
+                entry::Reply::Workflows(workflows::list(&ledger.workflows, &account, limit))
+            }
+            entry::Call::WorkflowShow(number) => workflow_reply(&ledger, number),
             _ => refused(verdict::Reason::BadRequest, "not a call that reads"),
         })
     }
@@ -157,6 +165,29 @@
         })
     }
 
+    /// Cancels a workflow as its caller would.
+    async fn cancel_workflow(&self, number: u64) -> Answer {
+        self.barrier().await?;
+        let found = {
+            let ledger = self.proposer.shared.ledger.borrow();
+            let job = ledger.workflows.jobs.get(&ids::JobKey(number));
+            job.map(|job| (job.submission.place.clone(), job.submission.id.clone()))
+        };
+        let Some((place, id)) = found else {
+            return Ok(refused(verdict::Reason::Unknown, format!("workflow {number}")));
+        };
+        let cancel = workflow::command::Command::Cancel(place, id.clone());
+        let outcome = self.propose(command::Command::Workflow(cancel)).await?;
+        Ok(match outcome {
+            outcome::Outcome::Workflow(_) => {
+                event::control::JOB_CANCELLED.log(format_args!("id={id} by=operator"));
+                workflow_reply(&self.proposer.shared.ledger.borrow(), number)
+            }
+            outcome::Outcome::Refused(refusal) => entry::Reply::Refused(refusal.into()),
+            _ => refused(verdict::Reason::BadRequest, ""),
+        })
+    }
+
     async fn fetch(&self, account: &str, key: &str, wait: u64) -> Answer {
         self.barrier().await?;
         let job = match self.find(account, key) {
@@ -243,6 +274,13 @@
     }
 }
 
+fn workflow_reply(ledger: &state::Ledger, number: u64) -> entry::Reply {
+    match workflows::show(&ledger.workflows, ids::JobKey(number)) {
+        Some((workflow, tasks)) => entry::Reply::Workflow(workflow, tasks),
+        None => refused(verdict::Reason::Unknown, format!("workflow {number}")),
+    }
+}
+
 fn job_reply(ledger: &state::Ledger, job: ids::JobKey) -> entry::Reply {
     match report::job(ledger, job) {
         Some(job) => entry::Reply::Job(job),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -35,6 +35,7 @@
 pub mod replica;
 pub mod report;
 pub mod runner_session;
+pub mod workflows;
 
 /// Connections at once: peers, entries and agents.
 const MAX_CONNECTIONS: usize = 8192;
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -16,6 +16,7 @@
 use crate::entry::public;
 use crate::entry::reply;
 use crate::entry::state;
+use crate::entry::workflow;
 use crate::net::http;
 use crate::telemetry::metrics as names;
 use crate::telemetry::trace;
@@ -71,7 +72,7 @@
     match route {
         input::Route::Request { .. } => &[Method::PUT, Method::GET, Method::DELETE],
         input::Route::Tickets | input::Route::Plan => &[Method::POST],
-        input::Route::Job(_) => &[Method::GET, Method::DELETE],
+        input::Route::Job(_) | input::Route::Workflow(_) => &[Method::GET, Method::DELETE],
         _ => &[Method::GET],
     }
 }
@@ -162,6 +163,11 @@
             operator::cancel(state, number, hop).await
         }
         input::Route::Job(number) => operator::job(state, number, hop).await,
+        input::Route::Workflows => workflow::list(state, request, hop).await,
+        input::Route::Workflow(number) if request.method() == Method::DELETE => {
+            workflow::cancel(state, number, hop).await
+        }
+        input::Route::Workflow(number) => workflow::show(state, number, hop).await,
         _ => operator::status(state, hop).await,
     }
 }
--- a/src/entry/input.rs
+++ b/src/entry/input.rs
@@ -59,6 +59,10 @@
     Account(String),
     /// Workers.
     Workers,
+    /// Workflows.
+    Workflows,
+    /// A workflow by number.
+    Workflow(u64),
     /// Jobs.
     Jobs,
     /// A job by number.
@@ -90,6 +94,8 @@
         ["v1", "accounts"] => Route::Accounts,
         ["v1", "accounts", name] => Route::Account((*name).to_owned()),
         ["v1", "workers"] => Route::Workers,
+        ["v1", "workflows"] => Route::Workflows,
+        ["v1", "workflows", number] => Route::Workflow(number.parse().ok()?),
         ["v1", "jobs"] => Route::Jobs,
         ["v1", "jobs", number] => Route::Job(number.parse().ok()?),
         ["v1", "status"] => Route::Status,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -40,6 +40,7 @@
 mod tally;
 mod ticket;
 pub mod view;
+pub mod workflow;
 
 /// The pause between two refreshes of the hours. The refresh also shows whether control answers.
 const REFRESH: time::Duration = time::Duration::from_secs(2);
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -25,7 +25,7 @@
 /// The most jobs that are listed.
 const JOBS_LIMIT: u32 = 1000;
 
-/// The query of a list of jobs.
+/// The query of a list of jobs or workflows.
 #[derive(Debug, Default, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct Query {
@@ -33,6 +33,16 @@
     limit: Option<u32>,
 }
 
+/// The account whose jobs or workflows are to be listed, and how many; empty for all accounts.
+pub(super) fn filter(request: &http::Request) -> Result<(String, u32), http::Response> {
+    let query: Query = input::query(request).map_err(|refusal| reply::refused(&refusal))?;
+    let limit = query.limit.unwrap_or(JOBS);
+    if limit == 0 || limit > JOBS_LIMIT {
+        return Err(bad(format!("limit: must be 1 to {JOBS_LIMIT}")));
+    }
+    Ok((query.account, limit))
+}
+
 /// `GET /v1/accounts`.
 #[derive(serde::Serialize)]
 struct Accounts {
@@ -58,7 +68,7 @@
     reply::refused(&verdict::Refusal::not_run(verdict::Reason::BadRequest, detail))
 }
 
-fn ok(value: &impl serde::Serialize) -> Answer {
+pub(super) fn ok(value: &impl serde::Serialize) -> Answer {
     Ok(reply::json(StatusCode::OK, value))
 }
 
@@ -148,12 +158,8 @@
 
 /// `GET /v1/jobs`.
 pub async fn jobs(state: &state::State, request: http::Request, hop: &trace::Hop) -> Answer {
-    let query: Query = input::query(&request).map_err(|refusal| reply::refused(&refusal))?;
-    let limit = query.limit.unwrap_or(JOBS);
-    if limit == 0 || limit > JOBS_LIMIT {
-        return Err(bad(format!("limit: must be 1 to {JOBS_LIMIT}")));
-    }
-    let call = wire::Call::Jobs { account: query.account, limit };
+    let (account, limit) = filter(&request)?;
+    let call = wire::Call::Jobs { account, limit };
     match state.ask(hop.context(), call, state.patience()).await? {
         wire::Reply::Jobs(jobs) => ok(&Jobs { jobs: jobs.iter().map(view::Job::from).collect() }),
         _ => Err(state::misfit("jobs")),
--- a/src/wire/entry.rs
+++ b/src/wire/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::macros;
 use crate::wire::common;
+use crate::wire::workflow;
 
 macros::plain! {
     /// From an entry to control.
@@ -97,6 +98,18 @@
             /// The end of the last hour wanted.
             until: u64,
         },
+        /// Workflows that have not ended, and the latest that have. Replied with
+        /// [`Reply::Workflows`].
+        Workflows {
+            /// Only this account's; all where empty.
+            account: String,
+            /// At most so many.
+            limit: u32,
+        },
+        /// One workflow by number. Replied with [`Reply::Workflow`].
+        WorkflowShow(u64),
+        /// Cancel a workflow by number. Replied with [`Reply::Workflow`].
+        WorkflowCancel(u64),
     }
 
     /// From control to an entry.
@@ -161,6 +174,10 @@
         Status(Status),
         /// Hours of all services.
         Hours(Hours),
+        /// Workflows.
+        Workflows(Vec<workflow::Workflow>),
+        /// A workflow, and its tasks that are not done.
+        Workflow(workflow::Workflow, Vec<workflow::Task>),
     }
 
     /// A job as callers and operators see it.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -14,3 +14,4 @@
 pub mod peer;
 pub mod runner;
 pub mod snapshot;
+pub mod workflow;
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -90,6 +90,7 @@
         "store",
         "ticket",
         "trace",
+        "workflow",
         "worker",
     ];
     for name in subcommands {
@@ -125,6 +126,11 @@
 #[case::jobs(&["job", "list"], "round-1")]
 #[case::job(&["job", "show", "1"], "round-1")]
 #[case::cancel(&["job", "cancel", "1"], "round-1")]
+#[case::workflows(&["workflow", "list"], "0 done, 3 placed, 0 waiting")]
+#[case::workflows_json(&["--output", "json", "workflow", "list"], "\"placed\": 3")]
+#[case::workflow_steps(&["workflow", "show", "7"], "gang")]
+#[case::workflow_tasks(&["workflow", "show", "7"], "10.0.0.1@5")]
+#[case::workflow_cancelled(&["workflow", "cancel", "7"], "cancelled")]
 #[case::wait(&["request", "wait", "--account", "swan-coast", "round-1"], "done, 9 bytes")]
 #[case::answer(&["request", "answer", "--account", "swan-coast", "round-1"], "an answer")]
 #[case::submit(&["request", "submit", "--account", "swan-coast", "--service", "booking",
@@ -156,6 +162,16 @@
     });
 }
 
+#[rstest]
+#[case::shown("show")]
+#[case::cancelled("cancel")]
+fn workflow_unknown(#[case] action: &str) {
+    cases::with_entry(async |_, entry| {
+        let output = run_good(entry, &["workflow", action, "8"]).await;
+        assert_eq!(output.status.code(), Some(3));
+    });
+}
+
 #[test]
 fn request_pending() {
     cases::with_entry(async |_, entry| {
--- a/tests/testsuite/entry_contract.rs
+++ b/tests/testsuite/entry_contract.rs
@@ -83,6 +83,8 @@
 #[case::cancel_unknown("DELETE", "/v1/accounts/swan-coast/requests/none", 404)]
 #[case::job_number("GET", "/v1/jobs/one", 404)]
 #[case::jobs_limit("GET", "/v1/jobs?limit=0", 400)]
+#[case::workflow_number("GET", "/v1/workflows/one", 404)]
+#[case::workflows_limit("GET", "/v1/workflows?limit=1001", 400)]
 #[case::account_unknown("GET", "/v1/accounts/none", 404)]
 #[case::hours_half("GET", "/v1/hours?from=5", 400)]
 #[case::hours_reversed("GET", "/v1/hours?from=7200000&until=0", 400)]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -52,3 +52,4 @@
 mod whole;
 mod wire;
 mod workflow;
+mod workflow_view;
--- a/tests/testsuite/support/fake_control.rs
+++ b/tests/testsuite/support/fake_control.rs
@@ -10,6 +10,7 @@
 use hemlockcleat::net::stream;
 use hemlockcleat::wire::common;
 use hemlockcleat::wire::entry as wire;
+use hemlockcleat::wire::workflow;
 use sha2::Digest as _;
 use tokio::sync::watch;
 
@@ -98,6 +99,30 @@
     }
 }
 
+/// Workflow 7 of one gang.
+fn workflow(phase: u8) -> workflow::Workflow {
+    let step = workflow::Step { gang: true, waiting: 0, placed: 3, done: 0, failures: 1 };
+    workflow::Workflow {
+        number: 7,
+        id: "round-7".to_owned(),
+        queue: "queues.example/rounds/".to_owned(),
+        account: "swan-coast".to_owned(),
+        pool: "pool".to_owned(),
+        rank: 0,
+        phase,
+        accepted: 1_772_445_601_500,
+        ended: 0,
+        occurrences: 1,
+        finished: 0,
+        steps: vec![step],
+    }
+}
+
+fn task() -> workflow::Task {
+    let life = Some((0x0a00_0001, 5));
+    workflow::Task { occurrence: 0, step: 0, index: 2, run: 4, failures: 1, life }
+}
+
 pub fn hours(as_of: u64, hours: Vec<wire::Hour>) -> wire::Hours {
     wire::Hours { as_of, hours }
 }
@@ -271,6 +296,10 @@
             wire::Call::Config => wire::Reply::Config(self.config.borrow().clone()),
             wire::Call::Hours { .. } => wire::Reply::Hours(self.hours.borrow().clone()),
             wire::Call::Ticket(ticket) => wire::Reply::Ticket { revision: ticket.number },
+            wire::Call::Workflows { .. } => wire::Reply::Workflows(vec![workflow(0)]),
+            wire::Call::WorkflowShow(7) => wire::Reply::Workflow(workflow(1), vec![task()]),
+            wire::Call::WorkflowCancel(7) => wire::Reply::Workflow(workflow(4), Vec::new()),
+            wire::Call::WorkflowShow(_) | wire::Call::WorkflowCancel(_) => refused(0, 11),
             wire::Call::Workers => wire::Reply::Workers(Vec::new()),
             wire::Call::Status => wire::Reply::Status(wire::Status {
                 leader: 1,
--- a/tests/testsuite/workflow.rs
+++ b/tests/testsuite/workflow.rs
@@ -28,7 +28,7 @@
 /// How long agents may hold their workers, in milliseconds: short, so that losses show soon.
 const HOLD_MS: u64 = 2500;
 
-struct Site {
+pub struct Site {
     replicas: Vec<Option<control::Control>>,
     settings: Vec<settings::control::Settings>,
     link: rc::Rc<gate::Link>,
@@ -42,7 +42,7 @@
 const PORTS: (u16, u16) = (7000, 7002);
 
 impl Site {
-    async fn start(replicas: usize, workers: u32) -> Self {
+    pub async fn start(replicas: usize, workers: u32) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let hosts: Vec<_> = (0..replicas).map(|_| support::own_host()).collect();
         let addr = |n: usize, port| net::SocketAddr::from((hosts[n], port));
@@ -87,6 +87,11 @@
         site
     }
 
+    /// Where a control replica serves its streams.
+    pub fn control_addr(&self, replica: usize) -> net::SocketAddr {
+        self.settings[replica].listen
+    }
+
     /// The worker says that it is there.
     async fn beat(&self, host: usize) {
         let worker = &self.workers[host];
@@ -103,12 +108,12 @@
         self.link.call(call, PATIENCE).await.expect("a reply in time")
     }
 
-    async fn configure(&self) {
+    pub async fn configure(&self) {
         let call = wire::Call::Configure(flow::directory(1));
         assert_eq!(self.call(call).await, wire::Reply::Configured);
     }
 
-    async fn submit(&self, priority: u32, id: &str, step: model::Step) {
+    pub async fn submit(&self, priority: u32, id: &str, step: model::Step) {
         let workflow =
             model::Workflow { spec: "spec".to_owned(), steps: vec![step], schedule: None };
         let call = wire::Call::Submit(address(priority, id), workflow);
@@ -151,7 +156,7 @@
         self.replicas[position] = Some(control::Control::start(settings).await.expect("starts"));
     }
 
-    async fn stop(self) {
+    pub async fn stop(self) {
         for runner in &self.runners {
             runner.stop().await;
         }
--- /dev/null
+++ b/tests/testsuite/workflow_view.rs
@@ -0,0 +1,122 @@
+//! Workflows as operators see them: from the book, and through a session of an entry.
+
+use std::time;
+
+use hemlockcleat::control::workflows;
+use hemlockcleat::core::workflow::model;
+use hemlockcleat::net::stream;
+use hemlockcleat::wire::codec;
+use hemlockcleat::wire::common;
+use hemlockcleat::wire::entry as wire;
+
+use crate::support;
+use crate::support::flow;
+use crate::workflow::Site;
+
+/// How long a reply may take on a busy machine.
+const PATIENCE: time::Duration = time::Duration::from_secs(30);
+
+#[test]
+fn list_shows_open_ones_first() {
+    let mut world = flow::World::with_workers(1);
+    let done = world.submit(1, "aa", vec![flow::step(1, 8)]);
+    world.tick(1);
+    let (host, task, run) = world.take_starts()[0].clone();
+    let ended = flow::finished(1, &task, run, model::How::Done);
+    world.report(flow::worker(host, 1), &[], &[ended]);
+    let first = world.submit(1, "bb", vec![flow::step(1, 8)]);
+    let last = world.submit(1, "cc", vec![flow::step(1, 8)]);
+    let list = |account: &str, limit| {
+        let found = workflows::list(&world.book, account, limit);
+        found.iter().map(|workflow| workflow.number).collect::<Vec<_>>()
+    };
+    assert_eq!(list("", 10), [last.0, first.0, done.0]);
+    assert_eq!(list("couriers", 2), [last.0, first.0]);
+    assert!(list("nobody", 10).is_empty());
+}
+
+#[test]
+fn show_counts_tasks_by_step() {
+    let mut world = flow::World::with_workers(1);
+    let after = model::Step { after: vec![0], ..flow::step(2, 1) };
+    let key = world.submit(1, "aa", vec![flow::step(3, 4), after]);
+    world.tick(1);
+    let starts = world.take_starts();
+    assert_eq!(starts.len(), 2, "two of the first step fit");
+    let (host, task, run) = starts[0].clone();
+    let failed = flow::finished(1, &task, run, model::How::Failed);
+    world.report(flow::worker(host, 1), &[], &[failed]);
+    let (workflow, tasks) = workflows::show(&world.book, key).expect("it is known");
+    let first = &workflow.steps[0];
+    assert_eq!((first.waiting, first.placed, first.done, first.failures), (2, 1, 0, 1));
+    assert_eq!(workflow.steps[1].waiting, 2);
+    assert_eq!(workflow.phase, 1);
+    assert_eq!(tasks.len(), 5);
+    assert_eq!(tasks[0].life, Some((0, 1)), "those with a run come first");
+    assert!(tasks[1..].iter().all(|task| task.life.is_none()));
+}
+
+#[test]
+fn show_is_bounded() {
+    let mut world = flow::World::with_workers(1);
+    let key = world.submit(1, "aa", vec![flow::step(1500, 1)]);
+    let (workflow, tasks) = workflows::show(&world.book, key).expect("it is known");
+    assert_eq!(workflow.steps[0].waiting, 1500);
+    assert_eq!(tasks.len(), 1000);
+}
+
+struct Entry {
+    sender: stream::Sender<wire::Up>,
+    receiver: stream::Receiver<wire::Down>,
+    last: u64,
+}
+
+impl Entry {
+    async fn call(&mut self, body: wire::Call) -> wire::Reply {
+        self.last += 1;
+        let id = self.last;
+        let trace = common::Trace::default();
+        self.sender.send(&wire::Up::Call { id, trace, body }).await;
+        let reply = async {
+            loop {
+                match self.receiver.receive().await.expect("the session goes on") {
+                    wire::Down::Reply { id: of, body } if of == id => return body,
+                    _ => {}
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, reply).await.expect("a reply in time")
+    }
+}
+
+#[test]
+fn workflow_is_shown_and_cancelled_through_an_entry() {
+    support::run(async {
+        let site = Site::start(1, 1).await;
+        site.configure().await;
+        // No worker has so many accelerators free at once.
+        site.submit(1, "aa", flow::step(3, 8)).await;
+        let (sender, receiver, connection) =
+            stream::connect::<wire::Up, wire::Down>(site.control_addr(0), "/entry")
+                .await
+                .expect("a session");
+        let hello = wire::Up::Hello { version: codec::VERSION, cell: 0, entry: 1, revision: 0 };
+        sender.send(&hello).await;
+        let mut entry = Entry { sender, receiver, last: 0 };
+        let list = wire::Call::Workflows { account: String::new(), limit: 10 };
+        let wire::Reply::Workflows(found) = entry.call(list).await else { panic!("no list") };
+        assert_eq!((found.len(), found[0].id.as_str()), (1, "aa"));
+        let number = found[0].number;
+        let cancel = wire::Call::WorkflowCancel(number);
+        let wire::Reply::Workflow(cancelled, _) = entry.call(cancel).await else {
+            panic!("not cancelled")
+        };
+        assert_eq!(cancelled.phase, 4);
+        for call in [wire::Call::WorkflowShow(number + 1), wire::Call::WorkflowCancel(number + 1)] {
+            assert!(matches!(entry.call(call).await, wire::Reply::Refused(_)));
+        }
+        drop(entry);
+        connection.closed().await;
+        site.stop().await;
+    });
+}
