Give each try of a stop the newest fencing token

Cause: an agent repeats a stop until its worker answers, with the token of the first try. When the leader changed in between, the worker learnt the higher token by the next look and refused every further try; the run stayed in hand, the new leader's orders to start it were ignored, and its job never ended.

Ruled out: an end that was listed and not taken (no E215 of any leader), a worker that was lost (no E210, E512 or E513 of it), and a placement that was lost (E515 at the agent).

Change: the token of each try is that of its time; a stop ends with the life of its worker; E518 logs a stop that is not taken.

Conclusion: no error of a call may go without a line; this one took a trace of the whole job to find.

--- a/src/runner/agent.rs
+++ b/src/runner/agent.rs
@@ -119,6 +119,8 @@
     Start(model::Life, RunName, launch::Outcome),
     /// An order to stop that was answered.
     Stop(model::Life, RunName),
+    /// An order to a worker whose life is over.
+    Over,
     /// The time for another look.
     Pause,
 }
@@ -137,6 +139,8 @@
     closing: BTreeMap<RunName, core_time::Tick>,
     /// Orders in hand.
     busy: BTreeSet<RunName>,
+    /// Held as long as this life is the present one.
+    alive: rc::Rc<()>,
 }
 
 struct Agent {
@@ -145,7 +149,8 @@
     host: u32,
     clock: clock::Clock,
     hold: hold::Hold,
-    fence: u64,
+    /// The term of the last leader; orders under way carry the newest.
+    fence: rc::Rc<cell::Cell<u64>>,
     session: Option<Session>,
     worker: Option<Worker>,
     /// The last life that has left for good.
@@ -166,7 +171,7 @@
             host,
             clock: clock::Clock::start(),
             hold: hold::Hold::default(),
-            fence: 0,
+            fence: rc::Rc::default(),
             session: None,
             worker: None,
             gone: None,
@@ -241,6 +246,7 @@
                     listing: None,
                     closing: BTreeMap::new(),
                     busy: BTreeSet::new(),
+                    alive: rc::Rc::new(()),
                 });
                 self.look(0);
             }
@@ -251,7 +257,7 @@
         let Some(found) = found else { return };
         let wire::Down::Welcome { term, .. } = &found.greeting else { return };
         event::agent::CONNECTED.log(format_args!("addr={} term={term}", found.addr));
-        self.fence = self.fence.max(*term);
+        self.fence.set(self.fence.get().max(*term));
         self.session = Some(found);
         self.asked = None;
         self.look(0);
@@ -296,7 +302,7 @@
         let now = self.clock.tick();
         let name = (start.task.clone(), start.run);
         let valid = self.hold.is_valid(now);
-        let (until, fence) = (self.hold.until(), self.fence);
+        let (until, fence) = (self.hold.until(), self.fence.get());
         let Some(worker) = self.worker.as_mut().filter(|w| w.said.life == start.life) else {
             return;
         };
@@ -317,17 +323,21 @@
     }
 
     fn stop(&mut self, life: model::Life, task: model::TaskName, run: u32) {
-        let fence = self.fence;
+        let newest = self.fence.clone();
         let name = (task.clone(), run);
         let Some(worker) = self.worker.as_mut().filter(|worker| worker.said.life == life) else {
             return;
         };
         event::agent::TASK_STOP.log(format_args!("task={task} run={run}"));
         worker.busy.insert(name.clone());
-        let stopping = launch::stop(worker.backend.clone(), launch::Stop { task, run, fence });
+        let alive = rc::Rc::downgrade(&worker.alive);
+        let fence = move || alive.upgrade().map(|_| newest.get());
+        let stopping = launch::stop(worker.backend.clone(), task, run, fence);
         self.calls.push(Box::pin(async move {
-            stopping.await;
-            Done::Stop(life, name)
+            match stopping.await {
+                true => Done::Stop(life, name),
+                false => Done::Over,
+            }
         }));
     }
 
@@ -344,6 +354,7 @@
                 worker.closing.insert(name, now);
                 self.look(0);
             }
+            Done::Over => {}
             Done::Pause => {
                 self.looks -= 1;
                 if self.looks == 0 {
@@ -373,7 +384,7 @@
 
     /// Asks the worker after its runs, and extends its lease.
     fn look(&mut self, wait: u64) {
-        let (until, fence) = (self.hold.until(), self.fence);
+        let (until, fence) = (self.hold.until(), self.fence.get());
         let valid = self.hold.is_valid(self.clock.tick());
         let Some(worker) = &self.worker else { return };
         let until = until.filter(|_| valid);
--- a/src/runner/launch.rs
+++ b/src/runner/launch.rs
@@ -7,8 +7,10 @@
 use std::rc;
 use std::time;
 
+use crate::core::workflow::model;
 use crate::runner::backend;
 use crate::runner::backend::Backend;
+use crate::telemetry::event;
 
 /// How often a start is ordered before it is given up.
 const TRIES: u32 = 3;
@@ -55,25 +57,30 @@
     Outcome::Failed(doubt, detail)
 }
 
-/// Orders a stop until the worker has answered it.
-pub async fn stop(backend: rc::Rc<dyn Backend>, order: Stop) {
-    loop {
-        let Stop { task, run, fence } = order.clone();
-        let tried = tokio::time::timeout(ORDER_TIMEOUT, backend.stop(task, run, fence)).await;
-        if matches!(tried, Ok(Ok(()))) {
-            return;
+/// Orders a stop until the worker has answered it; false if there is no use in it any more.
+///
+/// Each try carries the fencing token of its time, `None` once the worker's life is over: the
+/// worker may have learnt a higher one since the stop was first ordered, and refuses all below.
+pub async fn stop(
+    backend: rc::Rc<dyn Backend>,
+    task: model::TaskName,
+    run: u32,
+    fence: impl Fn() -> Option<u64>,
+) -> bool {
+    let mut last = String::new();
+    while let Some(fence) = fence() {
+        let tried = backend.stop(task.clone(), run, fence);
+        let error = match tokio::time::timeout(ORDER_TIMEOUT, tried).await {
+            Ok(Ok(())) => return true,
+            Ok(Err(error)) => error.0,
+            Err(_) => "no answer".to_owned(),
+        };
+        if error != last {
+            event::agent::STOP_UNANSWERED
+                .log(format_args!("task={task} run={run} fence={fence} error={error}"));
+            last = error;
         }
         tokio::time::sleep(PAUSE).await;
     }
-}
-
-/// A run to stop.
-#[derive(Clone, Debug)]
-pub struct Stop {
-    /// The task.
-    pub task: crate::core::workflow::model::TaskName,
-    /// The number of the start.
-    pub run: u32,
-    /// The fencing token.
-    pub fence: u64,
+    false
 }
--- a/src/telemetry/event/agent.rs
+++ b/src/telemetry/event/agent.rs
@@ -22,6 +22,7 @@
     TASK_START,
     TASK_STOP,
     TASK_REFUSED,
+    STOP_UNANSWERED,
 ];
 
 /// A session with the leading control replica stands.
@@ -60,3 +61,5 @@
 pub const TASK_STOP: Event = Event::new(516, log::Level::Info, "task stopping");
 /// A run of a task was refused by the worker, or its start not confirmed.
 pub const TASK_REFUSED: Event = Event::new(517, log::Level::Warn, "task refused");
+/// A worker did not take an order to stop a run, which is repeated.
+pub const STOP_UNANSWERED: Event = Event::new(518, log::Level::Warn, "stop not answered");
--- a/tests/testsuite/runner.rs
+++ b/tests/testsuite/runner.rs
@@ -174,7 +174,15 @@
 #[test]
 fn stop_is_ordered_until_it_is_answered() {
     let worker = Scripted::new(&[], 4);
-    let order = launch::Stop { task: task(), run: 1, fence: 1 };
-    support::run(launch::stop(worker.clone(), order));
+    assert!(support::run(launch::stop(worker.clone(), task(), 1, || Some(1))));
     assert_eq!(worker.stops.get(), 5);
 }
+
+#[test]
+fn stop_is_given_up_with_the_life_of_its_worker() {
+    let worker = Scripted::new(&[], u32::MAX);
+    let stops = worker.clone();
+    let alive = move || (stops.stops.get() < 3).then_some(1);
+    assert!(!support::run(launch::stop(worker.clone(), task(), 1, alive)));
+    assert_eq!(worker.stops.get(), 3);
+}
--- a/tests/testsuite/support/worker.rs
+++ b/tests/testsuite/support/worker.rs
@@ -69,6 +69,10 @@
     until: cell::Cell<u64>,
     /// Every so many orders, one gets no answer and is carried out late; 0 for none.
     pub late_every: cell::Cell<u32>,
+    /// Whether starts and stops get lost, with their answers.
+    pub mute: cell::Cell<bool>,
+    /// Stops that got lost.
+    pub lost_stops: cell::Cell<u32>,
     orders: cell::Cell<u32>,
 }
 
@@ -92,10 +96,17 @@
             fence: cell::Cell::new(0),
             until: cell::Cell::new(0),
             late_every: cell::Cell::new(0),
+            mute: cell::Cell::new(false),
+            lost_stops: cell::Cell::new(0),
             orders: cell::Cell::new(0),
         })
     }
 
+    /// The highest fence that it was shown.
+    pub fn fence(&self) -> u64 {
+        self.fence.get()
+    }
+
     fn clock(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
     }
@@ -247,6 +258,9 @@
     ) -> future::LocalBoxFuture<'static, Result<backend::Launched, Unanswered>> {
         let worker = self.0.clone();
         Box::pin(async move {
+            if worker.mute.get() {
+                return Err(Unanswered("lost".to_owned()));
+            }
             if !worker.loses() {
                 return Ok(worker.launch(&launch));
             }
@@ -266,6 +280,10 @@
     ) -> future::LocalBoxFuture<'static, Result<(), Unanswered>> {
         let worker = self.0.clone();
         Box::pin(async move {
+            if worker.mute.get() {
+                worker.lost_stops.set(worker.lost_stops.get() + 1);
+                return Err(Unanswered("lost".to_owned()));
+            }
             if worker.is_fenced(fence) {
                 return Err(Unanswered("fence".to_owned()));
             }
--- a/tests/testsuite/workflow.rs
+++ b/tests/testsuite/workflow.rs
@@ -168,6 +168,15 @@
     }
 }
 
+/// Waits until a condition holds.
+async fn until(holds: impl Fn() -> bool) {
+    let give_up = time::Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(time::Instant::now() < give_up, "it does not come true");
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+}
+
 fn address(priority: u32, id: &str) -> wire::Address {
     wire::Address {
         host: flow::HOST.to_owned(),
@@ -303,6 +312,27 @@
     });
 }
 
+/// A start and the stop that was to close it get lost while the leader changes. The worker then
+/// knows a higher fence than the stop began with.
+#[test]
+fn stop_outlives_its_leader() {
+    support::run(async {
+        let mut site = Site::start(3, 1).await;
+        site.configure().await;
+        let worker = site.workers[0].clone();
+        worker.mute.set(true);
+        site.submit(1, "aa", flow::step(1, 1)).await;
+        until(|| worker.lost_stops.get() > 0).await;
+        let fence = worker.fence();
+        let stopped = site.stop_leader().await;
+        until(|| worker.fence() > fence).await;
+        worker.mute.set(false);
+        assert_eq!(site.ended(1, "aa").await, job::Phase::Completed);
+        site.start_replica(stopped).await;
+        site.stop().await;
+    });
+}
+
 #[test]
 fn reborn_worker_runs_again_what_it_lost() {
     support::run(async {
