Check the hello of every session in one place

Cause: the sessions of entries, agents, gates and runners and the guide each checked version and cell, and logged a refusal in two forms.

No change of behaviour.

Tests: guide::, control_session::, entry_process::, workflow:: pass unchanged.

--- a/src/control/agent_session.rs
+++ b/src/control/agent_session.rs
@@ -2,6 +2,7 @@
 
 use std::rc;
 
+use crate::control::hello;
 use crate::control::machine;
 use crate::control::machine_state;
 use crate::control::order;
@@ -15,7 +16,6 @@
 use crate::net::stream;
 use crate::telemetry::event;
 use crate::wire::agent;
-use crate::wire::codec;
 use crate::wire::common;
 
 /// Serves one agent's stream until it ends or this replica no longer leads.
@@ -27,9 +27,7 @@
     else {
         return;
     };
-    if version != codec::VERSION || named != cell.0 {
-        event::control::SESSION_REFUSED
-            .log(format_args!("peer={peer} version={version} cell={named}"));
+    if !hello::is_ours(peer, version, named, cell.0) {
         return;
     }
     let mut held = ids::Revision(revision);
--- a/src/control/entry_session.rs
+++ b/src/control/entry_session.rs
@@ -7,14 +7,13 @@
 use futures_util::stream::StreamExt as _;
 
 use crate::control::calls;
+use crate::control::hello;
 use crate::control::machine;
 use crate::control::proposer;
 use crate::core::ids;
 use crate::core::ledger::command;
 use crate::core::time;
 use crate::net::stream;
-use crate::telemetry::event;
-use crate::wire::codec;
 use crate::wire::common;
 use crate::wire::entry;
 
@@ -34,9 +33,7 @@
     else {
         return;
     };
-    if version != codec::VERSION || named != cell.0 {
-        event::control::SESSION_REFUSED
-            .log(format_args!("peer={peer} version={version} cell={named}"));
+    if !hello::is_ours(peer, version, named, cell.0) {
         return;
     }
     sender.send(&entry::Down::Welcome { replica: replica.0 }).await;
--- a/src/control/gate_session.rs
+++ b/src/control/gate_session.rs
@@ -7,6 +7,7 @@
 use futures_util::stream as futures_stream;
 use futures_util::stream::StreamExt as _;
 
+use crate::control::hello;
 use crate::control::machine;
 use crate::control::proposer;
 use crate::control::runner_session;
@@ -15,7 +16,6 @@
 use crate::core::workflow;
 use crate::net::stream;
 use crate::telemetry::event;
-use crate::wire::codec;
 use crate::wire::gate;
 
 /// The most calls of one gate in hand at once; more wait in its stream.
@@ -31,9 +31,7 @@
     let peer = incoming.peer;
     let (sender, mut receiver) = incoming.split::<gate::Up, gate::Down>();
     let Some(gate::Up::Hello { version, cell: named }) = receiver.receive().await else { return };
-    if version != codec::VERSION || named != cell {
-        event::control::SESSION_REFUSED
-            .log(format_args!("peer={peer} version={version} cell={named}"));
+    if !hello::is_ours(peer, version, named, cell) {
         return;
     }
     let mut role = proposer.shared.role.subscribe();
--- a/src/control/guide.rs
+++ b/src/control/guide.rs
@@ -9,9 +9,9 @@
 
 use futures_util::future;
 
+use crate::control::hello;
 use crate::gate as gate_link;
 use crate::net::stream;
-use crate::telemetry::event;
 use crate::wire::codec;
 use crate::wire::disk;
 use crate::wire::gate;
@@ -62,7 +62,7 @@
         match incoming.path.as_str() {
             "/gate" => Box::pin(send_gate_on(cell, directions, incoming)),
             "/runner" => Box::pin(send_runner_on(cell, directions, incoming)),
-            "/peer" => Box::pin(send_candidate_on(directions, incoming)),
+            "/peer" => Box::pin(send_candidate_on(cell, directions, incoming)),
             _ => Box::pin(future::ready(())),
         }
     }
@@ -72,7 +72,7 @@
     let from = incoming.peer;
     let (sender, mut receiver) = incoming.split::<gate::Up, gate::Down>();
     let Some(gate::Up::Hello { version, cell: named }) = next(&mut receiver).await else { return };
-    if is_ours(from, version, named == cell) {
+    if hello::is_ours(from, version, named, cell) {
         let answer = gate::Down::NotLeader(directions.leader(), directions.replicas());
         sender.send(&answer).await;
     }
@@ -83,19 +83,24 @@
     let (sender, mut receiver) = incoming.split::<runner::Up, runner::Down>();
     let hello = next(&mut receiver).await;
     let Some(runner::Up::Hello { version, cell: named, .. }) = hello else { return };
-    if is_ours(from, version, named == cell) {
+    if hello::is_ours(from, version, named, cell) {
         let answer = runner::Down::NotLeader(directions.leader(), directions.replicas());
         sender.send(&answer).await;
     }
 }
 
 /// Names the members to a replica that asks to be admitted; it asks them next.
-async fn send_candidate_on(directions: rc::Rc<dyn Directions>, incoming: stream::Incoming) {
+async fn send_candidate_on(
+    cell: u16,
+    directions: rc::Rc<dyn Directions>,
+    incoming: stream::Incoming,
+) {
     let from = incoming.peer;
     let (sender, mut receiver) = incoming.split::<peer::Up, peer::Down>();
     while let Some(message) = next(&mut receiver).await {
         let answer = match message {
-            peer::Up::Hello(said) if is_ours(from, said.version, true) => {
+            // A candidate names no cell: whom its store belongs to is for the members to say.
+            peer::Up::Hello(said) if hello::is_ours(from, said.version, cell, cell) => {
                 let version = codec::VERSION;
                 peer::Down::Hello(peer::Hello { version, id: NOBODY, group: None })
             }
@@ -113,13 +118,3 @@
 {
     tokio::time::timeout(SILENCE, receiver.receive()).await.ok()?
 }
-
-/// Whether a hello is of this protocol and for this cell.
-fn is_ours(from: net::SocketAddr, version: u16, same_cell: bool) -> bool {
-    let ours = version == codec::VERSION && same_cell;
-    if !ours {
-        event::control::SESSION_REFUSED
-            .log(format_args!("peer={from} version={version} same_cell={same_cell}"));
-    }
-    ours
-}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -25,6 +25,7 @@
 mod gauges;
 pub mod guide;
 pub mod health;
+pub mod hello;
 pub mod keep;
 pub mod lead;
 pub mod leader_loop;
--- a/src/control/runner_session.rs
+++ b/src/control/runner_session.rs
@@ -2,11 +2,11 @@
 
 use std::net;
 
+use crate::control::hello;
 use crate::control::machine;
 use crate::control::proposer;
 use crate::net::stream;
 use crate::telemetry::event;
-use crate::wire::codec;
 use crate::wire::runner;
 
 /// How long an agent may be silent; it reports every second.
@@ -19,9 +19,7 @@
     let Some(runner::Up::Hello { version, cell: named, host }) = receiver.receive().await else {
         return;
     };
-    if version != codec::VERSION || named != cell {
-        event::control::SESSION_REFUSED
-            .log(format_args!("peer={peer} version={version} cell={named}"));
+    if !hello::is_ours(peer, version, named, cell) {
         return;
     }
     let mut role = proposer.shared.role.subscribe();
