--- a/src/ops/trace/line.rs
+++ b/src/ops/trace/line.rs
@@ -25,6 +25,7 @@
     /// What stands before the event's time, such as a file name of `grep` or a host's name, names
     /// the process; otherwise it is `source`.
     pub fn parse(text: &str, source: Option<&str>) -> Option<Self> {
+        // Details of a plain line may hold braces as well, but only after the event's number.
         let (before, at, message) = match text.find('{') {
             Some(start) if !text[..start].contains(" E") => json(text, start)?,
             _ => plain(text)?,
