Let urgent gangs of one rack stop work on its slow workers

With a rack's slow workers left out, no rack could hold the gang, and so it was spread over racks, where it is slowed more than by a slow worker.

Ruled out: leaving slow workers in for all gangs; one that any rack may hold finds others.

Change: the rule on slow workers spares steps that ask for one rack.

Test: urgent_work_stops_lower_work_on_a_slow_worker::gang_of_one_rack, red before.

--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -259,9 +259,10 @@
         if turn.waiting.prospect > queue::Prospect::InTime {
             return false;
         }
-        // On a slow worker an urgent task is late all the same, but guaranteed ones have to begin.
-        let guaranteed = turn.waiting.rank == queue::GUARANTEED;
-        let sites = sites.iter().filter(|site| guaranteed || !site.slow);
+        // On a slow worker an urgent task is late all the same. But guaranteed ones have to begin,
+        // and without its slow workers a rack may not hold a gang that others would slow more.
+        let any = turn.waiting.rank == queue::GUARANTEED || turn.ask.step.one_rack;
+        let sites = sites.iter().filter(|site| any || !site.slow);
         let sites: Vec<_> = sites.cloned().collect();
         let view = self.view(turn.waiting.rank, now);
         let plan = reclaim::plan(&sites, view, turn.ask, count, reclaim::Way::Stop);
--- a/tests/testsuite/dispatch_policy.rs
+++ b/tests/testsuite/dispatch_policy.rs
@@ -147,28 +147,34 @@
     assert_eq!(world.take_stops(), []);
 }
 
-/// Worker 0 has half the speed of the other. Within a guarantee its room counts, since all of the
+/// Worker 0 has half the speed of the others. Within a guarantee its room counts, since all of the
 /// job has to begin; beyond it the task would be late there all the same, and lower work lost for
-/// nothing.
+/// nothing. A gang that belongs on one rack takes what the rack has.
 #[rstest::rstest]
-#[case::within_its_guarantee(2, &[0, 1])]
-#[case::beyond_its_guarantee(3, &[1])]
-fn urgent_work_stops_lower_work_on_a_slow_worker(#[case] tasks: u32, #[case] stopped: &[u32]) {
+#[case::within_its_guarantee(2, flow::step(2, 8), &[0, 1])]
+#[case::beyond_its_guarantee(2, flow::step(3, 8), &[1])]
+#[case::gang_of_one_rack(3, flow::gang(3, 8), &[0, 1, 2])]
+fn urgent_work_stops_lower_work_on_a_slow_worker(
+    #[case] workers: u32,
+    #[case] step: model::Step,
+    #[case] stopped: &[u32],
+) {
     let mut health = health::Health::default();
     for _ in 0..6 {
-        health.ran(0, "queue", 0.5);
-        health.ran(1, "queue", 1.0);
+        for host in 0..workers {
+            health.ran(host, "queue", if host == 0 { 0.5 } else { 1.0 });
+        }
     }
-    let mut world = flow::World::with_health(2, health);
-    world.submit(2, "low", vec![model::Step { checkpoints: true, ..flow::step(2, 8) }]);
+    let mut world = flow::World::with_health(workers, health);
+    world.submit(2, "low", vec![model::Step { checkpoints: true, ..flow::step(workers, 8) }]);
     world.tick(1);
     let starts = world.take_starts();
-    assert_eq!(starts.len(), 2);
+    assert_eq!(starts.len(), workers as usize);
     world.now += 1000;
     for (host, task, run) in starts {
         world.report(flow::worker(host, 1), &[(task, run, 10)], &[]);
     }
-    world.submit(0, "hi", vec![flow::step(tasks, 8)]);
+    world.submit(0, "hi", vec![step]);
     world.tick(1);
     let mut hosts: Vec<_> = world.take_stops().into_iter().map(|(host, _, _)| host).collect();
     hosts.sort_unstable();
