Put the runs of a completed job before its end in a trace

Cause: the order of a run's end and its job's end was kept only where the files happened to be read in that order.

Change: a completed job's end follows the ends of its runs, whichever replica logged them; runs of a cancelled job may end after it.

Test: trace::sequence_of_a_job_that_ends_under_another_leader, red before.

--- a/src/ops/trace/sequence.rs
+++ b/src/ops/trace/sequence.rs
@@ -135,7 +135,8 @@
 struct Job {
     accepted: Option<usize>,
     answered: Option<usize>,
-    ended: Option<usize>,
+    /// Its end, if all of its runs had ended before: those of a cancelled job end after it.
+    completed: Option<usize>,
 }
 
 impl Job {
@@ -147,15 +148,15 @@
         } else if line.is(event::entry::CALL_ANSWERED) && submitted {
             let accepted = line.get("reply") == Some("accepted");
             self.answered = self.answered.or(Some(index).filter(|_| accepted));
-        } else if line.is(event::control::JOB_ENDED) {
-            self.ended.get_or_insert(index);
+        } else if line.is(event::control::JOB_ENDED) && line.get("phase") == Some("Completed") {
+            self.completed.get_or_insert(index);
         }
     }
 
     fn pairs(&self, ends: &[usize]) -> Vec<(usize, usize)> {
         let answer = self.accepted.zip(self.answered);
-        let ends = ends.iter().filter_map(|end| Some((*end, self.ended?)));
-        answer.into_iter().chain(ends.filter(|(run, job)| run < job)).collect()
+        let ends = ends.iter().filter_map(|end| Some((*end, self.completed?)));
+        answer.into_iter().chain(ends).collect()
     }
 }
 
--- a/tests/testsuite/trace.rs
+++ b/tests/testsuite/trace.rs
@@ -193,6 +193,22 @@
     assert_eq!(story.skews, [skew(AGENT, 1990), skew(ENTRY, 2975)]);
 }
 
+/// The runs of a cancelled job end after it, those of a completed one before, whichever replica's
+/// log is read first and however its clock goes.
+#[rstest]
+#[case::completed("Completed", &[211, 214, 215, 218])]
+#[case::cancelled("Cancelled", &[211, 214, 218, 215])]
+fn sequence_of_a_job_that_ends_under_another_leader(#[case] phase: &str, #[case] expected: &[u16]) {
+    let ended = format!("E218 job ended: job=7 id=ab12 phase={phase} after_ms=1401");
+    let lines = vec![
+        line("control-2", 10_500, &ended),
+        line(LEADER, 10_000, "E211 job accepted: job=7 id=ab12 queue=a/q/ account=a priority=1"),
+        line(LEADER, 10_010, &format!("E214 task placed: job=7 {TASK} run=1 worker=10.0.0.1@5")),
+        line(LEADER, 11_400, &format!("E215 run ended: job=7 {TASK} run=1 how=Done")),
+    ];
+    assert_eq!(events(&story::Story::tell(lines, "ab12")), expected);
+}
+
 /// Logs of two cells with one identifier contradict each other; no line is lost over it.
 #[test]
 fn sequence_of_contradicting_lines_keeps_all() {
