--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -106,6 +106,24 @@
     serde_json::from_slice(body).map_err(|error| error::Error::Response(status, error.to_string()))
 }
 
+/// Which objects of a list are wanted.
+#[derive(Debug, clap::Args)]
+pub struct Filter {
+    /// Only this client account's
+    #[arg(long, default_value = "")]
+    account: String,
+    /// At most so many
+    #[arg(long, default_value_t = 100)]
+    limit: u32,
+}
+
+impl Filter {
+    /// The path of a list with this as its query.
+    pub fn path(&self, list: &str) -> String {
+        format!("{list}?account={}&limit={}", escape(&self.account), self.limit)
+    }
+}
+
 /// One part of a path, escaped.
 pub fn escape(part: &str) -> String {
     percent_encoding::utf8_percent_encode(part, percent_encoding::NON_ALPHANUMERIC).to_string()
--- a/src/cli/job.rs
+++ b/src/cli/job.rs
@@ -21,14 +21,7 @@
 #[derive(Debug, clap::Subcommand)]
 enum Action {
     /// List jobs that have not ended, and the latest that have
-    List {
-        /// Only this client account's
-        #[arg(long, default_value = "")]
-        account: String,
-        /// At most so many
-        #[arg(long, default_value_t = 100)]
-        limit: u32,
-    },
+    List(client::Filter),
     /// Show a job
     Show {
         /// The job's number
@@ -50,7 +43,7 @@
 pub async fn exec(context: &cli::Context, args: &clap::ArgMatches) -> Result<(), error::Error> {
     let args: Args = cli::parse(args)?;
     match args.action {
-        Action::List { account, limit } => list(context, &account, limit).await,
+        Action::List(filter) => list(context, &filter).await,
         Action::Show { job } => {
             let value = context.client.get(&format!("/v1/jobs/{job}")).await?;
             show(context, value)
@@ -69,10 +62,8 @@
     jobs: Vec<view::Job>,
 }
 
-async fn list(context: &cli::Context, account: &str, limit: u32) -> Result<(), error::Error> {
-    let account = client::escape(account);
-    let path = format!("/v1/jobs?account={account}&limit={limit}");
-    let value = context.client.get(&path).await?;
+async fn list(context: &cli::Context, filter: &client::Filter) -> Result<(), error::Error> {
+    let value = context.client.get(&filter.path("/v1/jobs")).await?;
     if context.output == print::Output::Json {
         return print::json(&value);
     }
--- a/src/cli/workflow.rs
+++ b/src/cli/workflow.rs
@@ -21,14 +21,7 @@
 #[derive(Debug, clap::Subcommand)]
 enum Action {
     /// List workflows that have not ended, and the latest that have
-    List {
-        /// Only this client account's
-        #[arg(long, default_value = "")]
-        account: String,
-        /// At most so many
-        #[arg(long, default_value_t = 100)]
-        limit: u32,
-    },
+    List(client::Filter),
     /// Show a workflow with its steps, and where its tasks run
     Show {
         /// The workflow's number
@@ -51,7 +44,7 @@
     let args: Args = cli::parse(args)?;
     let path = |number: u64| format!("/v1/workflows/{number}");
     let value = match args.action {
-        Action::List { account, limit } => return list(context, &account, limit).await,
+        Action::List(filter) => return list(context, &filter).await,
         Action::Show { number } => context.client.get(&path(number)).await?,
         Action::Cancel { number } => {
             let wait = time::Duration::ZERO;
@@ -61,10 +54,8 @@
     show(context, value)
 }
 
-async fn list(context: &cli::Context, account: &str, limit: u32) -> Result<(), error::Error> {
-    let account = client::escape(account);
-    let path = format!("/v1/workflows?account={account}&limit={limit}");
-    let value = context.client.get(&path).await?;
+async fn list(context: &cli::Context, filter: &client::Filter) -> Result<(), error::Error> {
+    let value = context.client.get(&filter.path("/v1/workflows")).await?;
     if context.output == print::Output::Json {
         return print::json(&value);
     }
--- a/src/control/gate_session.rs
+++ b/src/control/gate_session.rs
@@ -162,9 +162,9 @@
     reply: gate::Reply,
 ) -> gate::Reply {
     let why = match &reply {
-        gate::Reply::NoQueue => "no queue",
-        gate::Reply::NoCredential => "no credential",
-        gate::Reply::NoConfiguration => "no configuration",
+        gate::Reply::NoQueue | gate::Reply::NoCredential | gate::Reply::NoConfiguration => {
+            reply.word()
+        }
         gate::Reply::Invalid(fault) => fault,
         // This replica does not lead, and so decides nothing.
         _ => return reply,
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -59,6 +59,7 @@
         let mut placements = Vec::new();
         let mut idle = BTreeMap::new();
         let queue = queue::waiting(book, now);
+        let alone = queue.windows(2).all(|pair| pair[0].first.job == pair[1].first.job);
         for waiting in &queue {
             let waiting = *waiting;
             let since = self.idle.get(&waiting.first).copied().unwrap_or(now.tick);
@@ -70,7 +71,6 @@
             if indices.is_empty() || (step.gang && indices.len() < step.count as usize) {
                 continue;
             }
-            let alone = queue.iter().all(|other| other.first.job == waiting.first.job);
             let turn = Turn { job, waiting, ask: self.ask(book, job, &waiting, now) };
             let limit = self.share(turn, alone);
             let fair = &indices[..limit.min(indices.len())];
--- a/src/ops/trace/finding.rs
+++ b/src/ops/trace/finding.rs
@@ -133,9 +133,9 @@
 
 /// What went against a request, from its lines in their order.
 pub fn find(lines: &[select::Chosen]) -> Vec<Finding> {
-    let own = || lines.iter().filter(|chosen| !chosen.background).map(|chosen| &chosen.line);
-    let begin = own().map(|line| line.at).min().unwrap_or(0);
-    let accepted = own().find(|line| line.is(event::control::JOB_ACCEPTED)).map(|line| line.at);
+    let mut own = lines.iter().filter(|chosen| !chosen.background).map(|chosen| &chosen.line);
+    let begin = select::begin(lines);
+    let accepted = own.find(|line| line.is(event::control::JOB_ACCEPTED)).map(|line| line.at);
     let mut findings = Vec::new();
     for chosen in lines {
         findings.extend(of_line(chosen, begin));
--- a/src/ops/trace/select.rs
+++ b/src/ops/trace/select.rs
@@ -43,6 +43,12 @@
     pub background: bool,
 }
 
+/// When the first of a request's own lines was logged; 0 without any.
+pub fn begin(lines: &[Chosen]) -> i64 {
+    let own = lines.iter().filter(|chosen| !chosen.background);
+    own.map(|chosen| chosen.line.at).min().unwrap_or(0)
+}
+
 /// Chooses the lines of a request.
 pub fn select(lines: Vec<line::Line>, id: &str) -> Vec<Chosen> {
     let jobs: BTreeSet<u64> =
--- a/src/ops/trace/story.rs
+++ b/src/ops/trace/story.rs
@@ -45,7 +45,7 @@
     /// request. A `+` marks background.
     pub fn to_text(&self) -> String {
         let mut text = String::new();
-        let begin = self.begin();
+        let begin = select::begin(&self.lines);
         for chosen in &self.lines {
             let mark = if chosen.background { '+' } else { ' ' };
             let at = (chosen.line.at - begin) as f64 / 1000.0;
@@ -69,7 +69,7 @@
 
     /// The story for programs.
     pub fn to_json(&self) -> serde_json::Value {
-        let begin = self.begin();
+        let begin = select::begin(&self.lines);
         let lines = self.lines.iter().map(|chosen| {
             let line = &chosen.line;
             let fields = line.fields().iter().cloned();
@@ -96,9 +96,4 @@
             "skews": self.skews,
         })
     }
-
-    fn begin(&self) -> i64 {
-        let own = self.lines.iter().filter(|chosen| !chosen.background);
-        own.map(|chosen| chosen.line.at).min().unwrap_or(0)
-    }
 }
--- a/src/wire/gate.rs
+++ b/src/wire/gate.rs
@@ -113,3 +113,22 @@
         }
     }
 }
+
+impl Reply {
+    /// The reply in a word or two, for logs.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Job(_) => "shown",
+            Self::Cancelled => "cancelled",
+            Self::Pending(_) => "counted",
+            Self::Configured | Self::Configuration(_) => "configured",
+            Self::NoConfiguration => "no configuration",
+            Self::NoQueue => "no queue",
+            Self::NoCredential => "no credential",
+            Self::NoJob => "no job",
+            Self::Invalid(_) => "invalid",
+            Self::Undecided(_) => "undecided",
+        }
+    }
+}
