Test that replicas are found after all seeds have forgotten them

Both tests fail on the code as it is: an entry that knows one seed, a host without a disk that has just started, never reaches the leader that names that seed as its own; nor does one whose seed is a replica that stands by.

--- /dev/null
+++ b/tests/testsuite/discovery.rs
@@ -0,0 +1,135 @@
+//! How processes that have forgotten everything find the replicas again.
+
+use std::net;
+use std::rc;
+
+use hemlockcleat::control;
+use hemlockcleat::control::guide;
+use hemlockcleat::gate;
+use hemlockcleat::net::stream;
+use hemlockcleat::settings;
+
+use crate::replica_support;
+use crate::support;
+
+/// The ports of a control replica, on a host of its own.
+const PORTS: (u16, u16) = (7000, 7002);
+
+/// Control replicas that look for one another at a few addresses.
+struct Cell {
+    settings: Vec<settings::control::Settings>,
+    replicas: Vec<control::Control>,
+    folder: tempfile::TempDir,
+}
+
+impl Cell {
+    /// Starts a group of three whose seeds are these.
+    async fn start(seeds: &[net::SocketAddr]) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut cell = Self { settings: Vec::new(), replicas: Vec::new(), folder };
+        let hosts: Vec<_> = (0..3).map(|_| support::own_host()).collect();
+        let peers: Vec<_> = hosts.iter().copied().zip(1..).collect();
+        for host in hosts {
+            cell.add(host, &peers, seeds).await;
+        }
+        cell
+    }
+
+    /// Starts one more replica, by its host, the founders and its seeds.
+    async fn add(
+        &mut self,
+        host: net::Ipv4Addr,
+        founders: &[(net::Ipv4Addr, u64)],
+        seeds: &[net::SocketAddr],
+    ) -> net::SocketAddr {
+        let number = self.settings.len() + 1;
+        let addr = |host, port| net::SocketAddr::from((host, port));
+        let peers: Vec<_> = founders
+            .iter()
+            .map(|(host, number)| {
+                serde_json::json!({ "replica": number, "addr": addr(*host, PORTS.0) })
+            })
+            .collect();
+        let text = serde_json::json!({
+            "replica": number,
+            "data_center": "dc",
+            "data_folder": self.folder.path().join(number.to_string()),
+            "listen": addr(host, PORTS.0),
+            "http": addr(host, PORTS.1),
+            "peers": peers,
+            "seeds": seeds,
+        });
+        let settings: settings::control::Settings =
+            settings::parse(&text.to_string()).expect("sound settings");
+        self.replicas.push(control::Control::start(settings.clone()).await.expect("starts"));
+        self.settings.push(settings);
+        addr(host, PORTS.0)
+    }
+
+    fn is_led(&self) -> bool {
+        self.replicas.iter().any(control::Control::leads)
+    }
+
+    async fn stop(self) {
+        for replica in self.replicas {
+            replica.stop().await;
+        }
+    }
+}
+
+/// A host without a disk that has just started and knows itself only.
+struct Guide {
+    link: rc::Rc<gate::Link>,
+    server: stream::Server,
+}
+
+impl Guide {
+    async fn start(addr: net::SocketAddr) -> Self {
+        let link = gate::Link::start(vec![addr], 0);
+        let handler = rc::Rc::new(guide::Guide::new(0, link.clone()));
+        let server = stream::Server::bind(addr, 64, handler).await.expect("a port");
+        Self { link, server }
+    }
+
+    async fn stop(self) {
+        self.link.stop().await;
+        self.server.stop().await;
+    }
+}
+
+fn reserved() -> net::SocketAddr {
+    net::SocketAddr::from((support::own_host(), PORTS.0))
+}
+
+async fn reaches_leader(seeds: Vec<net::SocketAddr>) {
+    let entry = gate::Link::start(seeds, 0);
+    replica_support::until("the entry to reach the leader", || entry.is_up()).await;
+    entry.stop().await;
+}
+
+/// A power cut of all hosts leaves only the replicas knowing where they are.
+#[test]
+fn replicas_found_when_all_seeds_have_forgotten() {
+    support::run(async {
+        let seed = reserved();
+        let cell = Cell::start(&[seed]).await;
+        replica_support::until("a leader", || cell.is_led()).await;
+        let guide = Guide::start(seed).await;
+        reaches_leader(vec![seed]).await;
+        guide.stop().await;
+        cell.stop().await;
+    });
+}
+
+/// A replica that waits to be admitted is a seed like any other.
+#[test]
+fn replicas_found_through_standby() {
+    support::run(async {
+        let mut cell = Cell::start(&[]).await;
+        replica_support::until("a leader", || cell.is_led()).await;
+        let member = cell.settings[0].listen;
+        let standby = cell.add(support::own_host(), &[], &[member]).await;
+        reaches_leader(vec![standby]).await;
+        cell.stop().await;
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod consensus_wire;
 mod consensus_world;
 mod control_session;
+mod discovery;
 mod dispatch;
 mod dispatch_policy;
 mod entry;
