Let the members tell the seeds where the replicas are

Cause: the addresses of the replicas were kept by those who forget. A process is told seeds; seeds that are hosts without a disk (guides) know the replicas only from having found the leader once. After a restart of all hosts the replicas alone knew one another, from the log, and no message went from them to anybody. Class: soft state without a source that outlives it.

Every member that is led now tells its seeds, unless they are members themselves, the addresses of all members: as soon as it is led, and every second from then on, so that a seed that restarts later learns them too. A group whose seeds are its members sends nothing.

--- a/src/control/guide.rs
+++ b/src/control/guide.rs
@@ -2,7 +2,8 @@
 //!
 //! Processes are told a few addresses at which to look; some may be those of hosts that serve
 //! operators but hold no replica. A guide answers there as a replica that does not lead does, with
-//! what it has learnt itself. It never votes, stores nothing and admits nobody.
+//! what it has learnt itself or from the members that name it as their seed. It never votes, stores
+//! nothing and admits nobody.
 
 use std::net;
 use std::rc;
@@ -31,6 +32,9 @@
 
     /// The addresses of all replicas known.
     fn replicas(&self) -> Vec<String>;
+
+    /// Takes note of the replicas that one of them has named.
+    fn learn(&self, from: net::SocketAddr, replicas: &[String]);
 }
 
 impl Directions for gate_link::Link {
@@ -41,6 +45,10 @@
     fn replicas(&self) -> Vec<String> {
         self.replicas().1.iter().map(net::SocketAddr::to_string).collect()
     }
+
+    fn learn(&self, from: net::SocketAddr, replicas: &[String]) {
+        self.learn(from, replicas);
+    }
 }
 
 /// Answers on the port on which a replica would serve.
@@ -62,7 +70,7 @@
         match incoming.path.as_str() {
             "/gate" => Box::pin(send_gate_on(cell, directions, incoming)),
             "/runner" => Box::pin(send_runner_on(cell, directions, incoming)),
-            "/peer" => Box::pin(send_candidate_on(cell, directions, incoming)),
+            "/peer" => Box::pin(meet_replica(cell, directions, incoming)),
             _ => Box::pin(future::ready(())),
         }
     }
@@ -89,12 +97,9 @@
     }
 }
 
-/// Names the members to a replica that asks to be admitted; it asks them next.
-async fn send_candidate_on(
-    cell: u16,
-    directions: rc::Rc<dyn Directions>,
-    incoming: stream::Incoming,
-) {
+/// Names the members to a replica that asks to be admitted, which asks them next, and learns them
+/// from one that is a member.
+async fn meet_replica(cell: u16, directions: rc::Rc<dyn Directions>, incoming: stream::Incoming) {
     let from = incoming.peer;
     let (sender, mut receiver) = incoming.split::<peer::Up, peer::Down>();
     while let Some(message) = next(&mut receiver).await {
@@ -105,6 +110,10 @@
                 peer::Down::Hello(peer::Hello { version, id: NOBODY, group: None })
             }
             peer::Up::Candidate(_) => peer::Down::Members(directions.replicas()),
+            peer::Up::Members(replicas) => {
+                directions.learn(from, &replicas);
+                peer::Down::Members(directions.replicas())
+            }
             _ => return,
         };
         sender.send(&answer).await;
--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -11,7 +11,7 @@
 
 use crate::control::replica::driver;
 use crate::control::replica::peer;
-use crate::settings::control::Settings;
+use crate::control::replica::place;
 use crate::wire;
 
 /// How often it asks.
@@ -26,25 +26,12 @@
 /// The most addresses it asks at.
 const MAX_KNOWN: usize = 32;
 
-/// Where a replica is found, and where it looks for others.
-pub(super) struct Place {
-    own: net::SocketAddr,
-    seeds: Vec<net::SocketAddr>,
-}
-
-impl Place {
-    pub(super) fn of(settings: &Settings) -> Self {
-        let own = settings.advertise.unwrap_or(settings.listen);
-        Self { own, seeds: settings.seeds.clone() }
-    }
-}
-
 /// Asks to be admitted while no leader counts this replica in.
-pub(super) async fn run(driver: rc::Rc<driver::Driver>, place: Place) {
-    if place.seeds.is_empty() {
+pub(super) async fn run(driver: rc::Rc<driver::Driver>, place: rc::Rc<place::Place>) {
+    let mut known: BTreeSet<net::SocketAddr> = place.seeds().into_iter().collect();
+    if known.is_empty() {
         return;
     }
-    let mut known: BTreeSet<net::SocketAddr> = place.seeds.iter().copied().collect();
     let mut alone = 0;
     loop {
         tokio::select! {
@@ -57,7 +44,7 @@
         }
         let members = driver.member_addrs();
         known.extend(members.iter().filter_map(|addr| addr.parse::<net::SocketAddr>().ok()));
-        let others = known.iter().filter(|addr| **addr != place.own).take(MAX_KNOWN);
+        let others = known.iter().filter(|addr| **addr != place.own()).take(MAX_KNOWN);
         let asked = futures_util::future::join_all(others.map(|addr| ask(&driver, &place, *addr)));
         let answers = tokio::select! {
             answers = asked => answers,
@@ -70,11 +57,11 @@
 /// Tells one replica, and returns the members it knows.
 async fn ask(
     driver: &driver::Driver,
-    place: &Place,
+    place: &place::Place,
     addr: net::SocketAddr,
 ) -> Vec<net::SocketAddr> {
     let Ok(mut session) = peer::Session::open(driver, addr).await else { return Vec::new() };
-    session.sender.send(&wire::peer::Up::Candidate(place.own.to_string())).await;
+    session.sender.send(&wire::peer::Up::Candidate(place.own().to_string())).await;
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, session.receiver.receive()).await;
     match answer {
         Ok(Some(wire::peer::Down::Members(addrs))) => {
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -21,11 +21,13 @@
 use crate::store::folder;
 use crate::telemetry::event;
 
+mod announcing;
 mod calls;
 mod driver;
 mod founding;
 mod joining;
 mod peer;
+mod place;
 mod writer;
 
 /// How long [`Replica::hand_over`](machine::Log::hand_over) waits at most.
@@ -123,10 +125,12 @@
             guards: options.guards,
         };
         let (inner, done) = driver::Driver::new(boot, store, disk, options, machine);
+        let place = rc::Rc::new(place::Place::of(settings));
         let tasks = vec![
             actix_rt::spawn(driver::run(inner.clone(), done)),
             actix_rt::spawn(founding::run(inner.clone(), settings.peers.clone())),
-            actix_rt::spawn(joining::run(inner.clone(), joining::Place::of(settings))),
+            actix_rt::spawn(joining::run(inner.clone(), place.clone())),
+            actix_rt::spawn(announcing::run(inner.clone(), place)),
         ];
         Ok(rc::Rc::new(Self { inner, tasks: cell::RefCell::new(tasks) }))
     }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -100,6 +100,11 @@
         (self.leader.get(), self.finder.learnt())
     }
 
+    /// Takes note of replicas that somebody has named.
+    pub fn learn(&self, from: net::SocketAddr, replicas: &[String]) {
+        self.finder.learn(from, replicas);
+    }
+
     /// Calls the leader, for `patience` in all.
     pub async fn call(
         &self,
--- a/src/net/leader.rs
+++ b/src/net/leader.rs
@@ -108,7 +108,8 @@
         self.learnt.borrow().clone()
     }
 
-    fn learn(&self, from: net::SocketAddr, replicas: &[String]) {
+    /// Takes note of the replicas that one of them, or somebody who looks for them, has named.
+    pub fn learn(&self, from: net::SocketAddr, replicas: &[String]) {
         let addrs = replicas.iter().filter_map(|addr| addr.parse().ok());
         let fresh: Vec<_> = addrs.take(MAX_LEARNT).collect();
         if !fresh.is_empty() && *self.learnt.borrow() != fresh {
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -35,6 +35,8 @@
         Envelope(Envelope),
         /// The speaker waits at this address to be admitted.
         Candidate(String),
+        /// The speaker is a member; these are the addresses of all members.
+        Members(Vec<String>),
     }
 
     /// From the replica that was dialled.
@@ -46,7 +48,7 @@
         Joined(u128),
         /// A message of the log.
         Envelope(Envelope),
-        /// The answer to [`Up::Candidate`]: the addresses of all members known.
+        /// The answer to [`Up::Candidate`] and [`Up::Members`]: the addresses of all members known.
         Members(Vec<String>),
     }
 
--- a/tests/testsuite/guide.rs
+++ b/tests/testsuite/guide.rs
@@ -29,6 +29,8 @@
     fn replicas(&self) -> Vec<String> {
         self.replicas.clone()
     }
+
+    fn learn(&self, _: net::SocketAddr, _: &[String]) {}
 }
 
 async fn start(known: Known) -> stream::Server {
