Let replicas follow an exchange of seeds while they run

Joining asked at the first seeds only, too.

Test discovery::replicas_found_when_seeds_were_exchanged_and_have_forgotten: red with a replica that keeps its first seeds, green now.

--- a/src/bin/hemlockcleat-control.rs
+++ b/src/bin/hemlockcleat-control.rs
@@ -25,6 +25,7 @@
     };
     let telemetry = settings.telemetry.clone();
     ops::daemon::run(&telemetry, async move {
-        control::keep::run(settings, ops::daemon::stop_signal()).await
+        let seeds = settings.seeds.clone();
+        control::keep::run(settings, seeds, ops::daemon::stop_signal()).await
     })
 }
--- a/src/control/keep.rs
+++ b/src/control/keep.rs
@@ -11,6 +11,7 @@
 use futures_util::future::LocalBoxFuture;
 
 use crate::control;
+use crate::net::seeds;
 use crate::settings::control::Settings;
 use crate::telemetry::event;
 
@@ -38,19 +39,21 @@
     }
 }
 
-/// Runs a control replica until `stopped` resolves.
+/// Runs a control replica, which looks for others at the seeds, until `stopped` resolves.
 ///
 /// # Errors
 ///
 /// If it can't be opened the first time, or `stopped` fails.
 pub async fn run(
     settings: Settings,
+    seeds: impl Into<seeds::Seeds>,
     stopped: impl Future<Output = io::Result<()>>,
 ) -> Result<(), Failure> {
+    let seeds = seeds.into();
     let open = || {
-        let settings = settings.clone();
+        let (settings, seeds) = (settings.clone(), seeds.clone());
         async move {
-            let control = control::Control::start(settings).await?;
+            let control = control::Control::start_with(settings, seeds).await?;
             Ok(Box::new(control) as Box<dyn Kept>)
         }
     };
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::core::ids;
 use crate::net::http;
+use crate::net::seeds;
 use crate::net::stream;
 use crate::settings;
 use crate::telemetry::event;
@@ -74,10 +75,19 @@
 impl Control {
     /// Opens the data folder and the port, and takes part in its group.
     pub async fn start(settings: settings::control::Settings) -> Result<Self, Error> {
+        let seeds = seeds::Seeds::from(settings.seeds.clone());
+        Self::start_with(settings, seeds).await
+    }
+
+    /// Like [`Control::start`], with seeds that may be exchanged while it runs.
+    pub async fn start_with(
+        settings: settings::control::Settings,
+        seeds: seeds::Seeds,
+    ) -> Result<Self, Error> {
         let shared = machine_state::Shared::with_lease(settings.hold());
         let machine = machine_state::LedgerMachine::new(shared.clone());
         let machine = rc::Rc::new(cell::RefCell::new(machine));
-        let replica = replica::Replica::start(&settings, machine).await?;
+        let replica = replica::Replica::start(&settings, seeds, machine).await?;
         let proposer = proposer::Proposer {
             replica: ids::ReplicaKey(settings.replica),
             voters: settings.voters,
--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -28,10 +28,7 @@
 
 /// Asks to be admitted while no leader counts this replica in.
 pub(super) async fn run(driver: rc::Rc<driver::Driver>, place: rc::Rc<place::Place>) {
-    let mut known: BTreeSet<net::SocketAddr> = place.seeds().into_iter().collect();
-    if known.is_empty() {
-        return;
-    }
+    let mut known = BTreeSet::new();
     let mut alone = 0;
     loop {
         tokio::select! {
@@ -39,9 +36,11 @@
             () = driver.stopped() => return,
         }
         alone = if driver.is_led() { 0 } else { alone + 1 };
-        if alone < PATIENCE {
+        let seeds = place.seeds();
+        if alone < PATIENCE || seeds.is_empty() {
             continue;
         }
+        known.extend(seeds);
         let members = driver.member_addrs();
         known.extend(members.iter().filter_map(|addr| addr.parse::<net::SocketAddr>().ok()));
         let others = known.iter().filter(|addr| **addr != place.own()).take(MAX_KNOWN);
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -14,6 +14,7 @@
 use crate::core::consensus::message;
 use crate::core::consensus::replica;
 use crate::core::ids;
+use crate::net::seeds;
 use crate::net::stream;
 use crate::settings::control::Settings;
 use crate::store;
@@ -74,9 +75,10 @@
 
 impl Replica {
     /// Opens the data folder, restores the machine and takes up the replica's place in its group,
-    /// or founds the group.
+    /// or founds the group. The seeds in force are given besides, since they may be exchanged.
     pub async fn start(
         settings: &Settings,
+        seeds: seeds::Seeds,
         machine: rc::Rc<cell::RefCell<dyn machine::Machine>>,
     ) -> Result<rc::Rc<Self>, Error> {
         let folder = settings.data_folder.clone();
@@ -86,15 +88,26 @@
             Ok(Err(error)) => return Err(refuse(error).into()),
             Err(error) => std::panic::resume_unwind(error.into_panic()),
         };
-        Self::start_with(settings, machine, disk, Options::default()).await
+        Self::open(settings, seeds, machine, disk, Options::default()).await
     }
 
-    /// Like [`Replica::start`], on any disk.
+    /// Like [`Replica::start`] with the seeds of the settings, on any disk.
     pub async fn start_with(
         settings: &Settings,
         machine: rc::Rc<cell::RefCell<dyn machine::Machine>>,
         disk: sync::Arc<dyn disk::Disk>,
         options: Options,
+    ) -> Result<rc::Rc<Self>, Error> {
+        let seeds = seeds::Seeds::from(settings.seeds.clone());
+        Self::open(settings, seeds, machine, disk, options).await
+    }
+
+    async fn open(
+        settings: &Settings,
+        seeds: seeds::Seeds,
+        machine: rc::Rc<cell::RefCell<dyn machine::Machine>>,
+        disk: sync::Arc<dyn disk::Disk>,
+        options: Options,
     ) -> Result<rc::Rc<Self>, Error> {
         let replica = ids::ReplicaKey(settings.replica);
         let fresh = ids::StoreKey(random_u128()?);
@@ -125,7 +138,7 @@
             guards: options.guards,
         };
         let (inner, done) = driver::Driver::new(boot, store, disk, options, machine);
-        let place = rc::Rc::new(place::Place::of(settings));
+        let place = rc::Rc::new(place::Place::new(settings, seeds));
         let tasks = vec![
             actix_rt::spawn(driver::run(inner.clone(), done)),
             actix_rt::spawn(founding::run(inner.clone(), settings.peers.clone())),
--- a/src/control/replica/place.rs
+++ b/src/control/replica/place.rs
@@ -2,18 +2,19 @@
 
 use std::net;
 
+use crate::net::seeds;
 use crate::settings::control::Settings;
 
 /// A replica's own address and its seeds.
 pub(super) struct Place {
     own: net::SocketAddr,
-    seeds: Vec<net::SocketAddr>,
+    seeds: seeds::Seeds,
 }
 
 impl Place {
-    pub(super) fn of(settings: &Settings) -> Self {
+    pub(super) fn new(settings: &Settings, seeds: seeds::Seeds) -> Self {
         let own = settings.advertise.unwrap_or(settings.listen);
-        Self { own, seeds: settings.seeds.clone() }
+        Self { own, seeds }
     }
 
     /// The address at which others reach this replica.
@@ -23,6 +24,6 @@
 
     /// The addresses at which to look for replicas first.
     pub(super) fn seeds(&self) -> Vec<net::SocketAddr> {
-        self.seeds.clone()
+        self.seeds.addrs()
     }
 }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::net::leader;
+use crate::net::seeds;
 use crate::net::stream;
 use crate::telemetry::event;
 use crate::telemetry::metrics as names;
@@ -63,7 +64,7 @@
 
 impl Link {
     /// Starts the link.
-    pub fn start(seeds: Vec<net::SocketAddr>, cell: u16) -> rc::Rc<Self> {
+    pub fn start(seeds: impl Into<seeds::Seeds>, cell: u16) -> rc::Rc<Self> {
         let link = rc::Rc::new(Self {
             finder: leader::Finder::new(seeds),
             cell,
@@ -76,11 +77,6 @@
         link
     }
 
-    /// Exchanges the addresses at which to look for replicas first.
-    pub fn set_seeds(&self, seeds: Vec<net::SocketAddr>) {
-        self.finder.set_seeds(seeds);
-    }
-
     /// Ends the session and joins the task.
     pub async fn stop(&self) {
         self.stop.send_replace(true);
--- a/src/net/leader.rs
+++ b/src/net/leader.rs
@@ -11,6 +11,7 @@
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
 
+use crate::net::seeds;
 use crate::net::stream;
 use crate::telemetry::event;
 
@@ -52,7 +53,7 @@
 
 /// Where to look for the leader.
 pub struct Finder {
-    seeds: cell::RefCell<Vec<net::SocketAddr>>,
+    seeds: seeds::Seeds,
     learnt: cell::RefCell<Vec<net::SocketAddr>>,
     /// What the last search has come to, unless it found a leader.
     complaint: cell::RefCell<String>,
@@ -79,25 +80,20 @@
 
 impl Finder {
     /// Starts from the seeds.
-    pub fn new(seeds: Vec<net::SocketAddr>) -> Self {
+    pub fn new(seeds: impl Into<seeds::Seeds>) -> Self {
         Self {
-            seeds: cell::RefCell::new(seeds),
+            seeds: seeds.into(),
             learnt: cell::RefCell::default(),
             complaint: cell::RefCell::default(),
         }
     }
 
-    /// Exchanges the seeds; what was learnt is kept.
-    pub fn set_seeds(&self, seeds: Vec<net::SocketAddr>) {
-        self.seeds.replace(seeds);
-    }
-
     /// The addresses of all replicas known.
     pub fn known(&self) -> Vec<net::SocketAddr> {
         let mut known = self.learnt.borrow().clone();
-        for seed in self.seeds.borrow().iter() {
-            if !known.contains(seed) {
-                known.push(*seed);
+        for seed in self.seeds.addrs() {
+            if !known.contains(&seed) {
+                known.push(seed);
             }
         }
         known
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod http;
 pub mod leader;
+pub mod seeds;
 pub mod stall;
 pub mod stream;
--- a/src/runner/agent.rs
+++ b/src/runner/agent.rs
@@ -3,7 +3,6 @@
 use std::cell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net;
 use std::rc;
 use std::time;
 
@@ -18,6 +17,7 @@
 use crate::core::time as core_time;
 use crate::core::workflow::model;
 use crate::net::leader;
+use crate::net::seeds;
 use crate::runner::backend;
 use crate::runner::backend::Backend;
 use crate::runner::hold;
@@ -65,25 +65,19 @@
 /// A running agent. [`Runner::stop`] joins its task.
 pub struct Runner {
     beats: mpsc::Sender<Beat>,
-    finder: rc::Rc<leader::Finder>,
     stop: cell::RefCell<Option<oneshot::Sender<()>>>,
     task: cell::RefCell<Option<actix_rt::task::JoinHandle<()>>>,
 }
 
 impl Runner {
     /// Starts the agent of a host.
-    pub fn start(seeds: Vec<net::SocketAddr>, cell: u16, host: u32) -> Self {
+    pub fn start(seeds: impl Into<seeds::Seeds>, cell: u16, host: u32) -> Self {
         let (beats, incoming) = mpsc::channel(16);
         let (stop, stopped) = oneshot::channel();
         let finder = rc::Rc::new(leader::Finder::new(seeds));
-        let agent = Agent::new(finder.clone(), cell, host);
+        let agent = Agent::new(finder, cell, host);
         let task = actix_rt::spawn(agent.run(incoming, stopped));
-        Self {
-            beats,
-            finder,
-            stop: cell::RefCell::new(Some(stop)),
-            task: cell::RefCell::new(Some(task)),
-        }
+        Self { beats, stop: cell::RefCell::new(Some(stop)), task: cell::RefCell::new(Some(task)) }
     }
 
     /// Takes what the worker says of itself. From then on a worker that leaves gets no task.
@@ -92,11 +86,6 @@
         let _ = self.beats.send(beat).await;
     }
 
-    /// Exchanges the addresses at which to look for replicas first.
-    pub fn set_seeds(&self, seeds: Vec<net::SocketAddr>) {
-        self.finder.set_seeds(seeds);
-    }
-
     /// Ends the session and joins the task. What runs at the worker goes on under its lease.
     pub async fn stop(&self) {
         if let Some(stop) = self.stop.take() {
--- a/tests/testsuite/discovery.rs
+++ b/tests/testsuite/discovery.rs
@@ -6,6 +6,7 @@
 use hemlockcleat::control;
 use hemlockcleat::control::guide;
 use hemlockcleat::gate;
+use hemlockcleat::net::seeds;
 use hemlockcleat::net::stream;
 use hemlockcleat::settings;
 
@@ -19,6 +20,7 @@
 struct Cell {
     settings: Vec<settings::control::Settings>,
     replicas: Vec<control::Control>,
+    seeds: seeds::Seeds,
     folder: tempfile::TempDir,
 }
 
@@ -26,11 +28,12 @@
     /// Starts a group of three whose seeds are these.
     async fn start(seeds: &[net::SocketAddr]) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let mut cell = Self { settings: Vec::new(), replicas: Vec::new(), folder };
+        let seeds = seeds::Seeds::from(seeds.to_vec());
+        let mut cell = Self { settings: Vec::new(), replicas: Vec::new(), seeds, folder };
         let hosts: Vec<_> = (0..3).map(|_| support::own_host()).collect();
         let peers: Vec<_> = hosts.iter().copied().zip(1..).collect();
         for host in hosts {
-            cell.add(host, &peers, seeds).await;
+            cell.add(host, &peers, cell.seeds.clone()).await;
         }
         cell
     }
@@ -40,7 +43,7 @@
         &mut self,
         host: net::Ipv4Addr,
         founders: &[(net::Ipv4Addr, u64)],
-        seeds: &[net::SocketAddr],
+        seeds: impl Into<seeds::Seeds>,
     ) -> net::SocketAddr {
         let number = self.settings.len() + 1;
         let addr = |host, port| net::SocketAddr::from((host, port));
@@ -57,15 +60,20 @@
             "listen": addr(host, PORTS.0),
             "http": addr(host, PORTS.1),
             "peers": peers,
-            "seeds": seeds,
         });
         let settings: settings::control::Settings =
             settings::parse(&text.to_string()).expect("sound settings");
-        self.replicas.push(control::Control::start(settings.clone()).await.expect("starts"));
+        let replica = control::Control::start_with(settings.clone(), seeds.into()).await;
+        self.replicas.push(replica.expect("starts"));
         self.settings.push(settings);
         addr(host, PORTS.0)
     }
 
+    /// Gives the founders other seeds.
+    fn exchange(&self, seeds: &[net::SocketAddr]) {
+        self.seeds.set(seeds.to_vec());
+    }
+
     fn is_led(&self) -> bool {
         self.replicas.iter().any(control::Control::leads)
     }
@@ -128,8 +136,23 @@
         let mut cell = Cell::start(&[]).await;
         replica_support::until("a leader", || cell.is_led()).await;
         let member = cell.settings[0].listen;
-        let standby = cell.add(support::own_host(), &[], &[member]).await;
+        let standby = cell.add(support::own_host(), &[], vec![member]).await;
         reaches_leader(vec![standby]).await;
         cell.stop().await;
     });
 }
+
+/// Members tell the seeds that are in force now, not those that they were started with.
+#[test]
+fn replicas_found_when_seeds_were_exchanged_and_have_forgotten() {
+    support::run(async {
+        let cell = Cell::start(&[]).await;
+        replica_support::until("a leader", || cell.is_led()).await;
+        let seed = reserved();
+        cell.exchange(&[seed]);
+        let guide = Guide::start(seed).await;
+        reaches_leader(vec![seed]).await;
+        guide.stop().await;
+        cell.stop().await;
+    });
+}
--- a/tests/testsuite/replica.rs
+++ b/tests/testsuite/replica.rs
@@ -6,6 +6,7 @@
 use hemlockcleat::control::machine::Log as _;
 use hemlockcleat::control::replica;
 use hemlockcleat::core::consensus;
+use hemlockcleat::net::seeds;
 use hemlockcleat::net::stream;
 use hemlockcleat::store;
 use hemlockcleat::wire::codec;
@@ -210,7 +211,7 @@
         let mut group = replica_support::Group::start(1).await;
         let settings = group.nodes[0].settings.clone();
         let machine = group.nodes[0].machine.clone();
-        let second = replica::Replica::start(&settings, machine).await;
+        let second = replica::Replica::start(&settings, seeds::Seeds::default(), machine).await;
         let error = second.err().expect("a refusal");
         assert!(matches!(error, replica::Error::Store(store::Error::Locked(_))), "{error}");
         group.nodes[0].stop().await;
--- a/tests/testsuite/replica_support.rs
+++ b/tests/testsuite/replica_support.rs
@@ -13,6 +13,7 @@
 use hemlockcleat::control::machine::Log as _;
 use hemlockcleat::control::replica;
 use hemlockcleat::core::ids;
+use hemlockcleat::net::seeds;
 use hemlockcleat::net::stream;
 use hemlockcleat::settings;
 use hemlockcleat::settings::control;
@@ -84,7 +85,8 @@
     /// Starts the replica on its folder.
     pub async fn start(&mut self) {
         self.machine = rc::Rc::default();
-        let started = replica::Replica::start(&self.settings, self.machine.clone()).await;
+        let seeds = seeds::Seeds::from(self.settings.seeds.clone());
+        let started = replica::Replica::start(&self.settings, seeds, self.machine.clone()).await;
         self.slot.0.replace(Some(started.expect("the replica starts")));
     }
 
