Let a replica that stands by say where the members are

Where the seeds are exchanged for machines that stand by with a disk of their own, as there are on the grown sites, a process that restarts is told nothing: a replica that no group has admitted answered with its own membership, which is empty, although it asks for the members every second. What it heard was kept in a local of the task that asks.

With a leader it names the members only.

Test discovery::replicas_found_through_standby.

--- a/src/control/gate_session.rs
+++ b/src/control/gate_session.rs
@@ -36,7 +36,7 @@
     }
     let mut role = proposer.shared.role.subscribe();
     let current = role.borrow_and_update().clone();
-    let replicas = runner_session::replicas(&proposer);
+    let replicas = proposer.log.replicas();
     let machine::Role::Leader(_) = current else {
         let leader = runner_session::leader_of(&current);
         sender.send(&gate::Down::NotLeader(leader, replicas)).await;
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -101,6 +101,10 @@
     /// The group.
     fn view(&self) -> GroupView;
 
+    /// The addresses of the replicas, as far as this one knows: all members while a leader counts
+    /// it in, otherwise also those that others have named.
+    fn replicas(&self) -> Vec<String>;
+
     /// Changes the membership by one step towards the given replicas.
     fn reconfigure(
         &self,
--- a/src/control/replica/announcing.rs
+++ b/src/control/replica/announcing.rs
@@ -11,7 +11,6 @@
 
 use crate::control::replica::driver;
 use crate::control::replica::peer;
-use crate::control::replica::place;
 use crate::wire;
 
 /// How often a seed is told: a seed that restarts knows nobody for as long at most.
@@ -21,13 +20,13 @@
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// Tells the seeds that are no members, from the moment on in which a leader counts this replica in.
-pub(super) async fn run(driver: rc::Rc<driver::Driver>, place: rc::Rc<place::Place>) {
+pub(super) async fn run(driver: rc::Rc<driver::Driver>) {
     loop {
         let told = async {
             driver.until(driver::Driver::is_led).await;
             let members = driver.member_addrs();
             let is_member = |addr: &net::SocketAddr| members.contains(&addr.to_string());
-            let seeds = place.seeds().into_iter().filter(|addr| !is_member(addr));
+            let seeds = driver.place().seeds().into_iter().filter(|addr| !is_member(addr));
             future::join_all(seeds.map(|addr| tell(&driver, addr, members.clone()))).await;
             tokio::time::sleep(PERIOD).await;
         };
--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::collections::BTreeMap;
+use std::net;
 use std::rc;
 use std::sync;
 
@@ -14,6 +15,7 @@
 use crate::control::replica::Options;
 use crate::control::replica::calls;
 use crate::control::replica::peer;
+use crate::control::replica::place;
 use crate::control::replica::writer;
 use crate::core::consensus;
 use crate::core::consensus::entry;
@@ -55,6 +57,7 @@
 pub(super) struct Driver {
     core: cell::RefCell<replica::Core>,
     machine: rc::Rc<cell::RefCell<dyn machine::Machine>>,
+    place: place::Place,
     calls: cell::RefCell<calls::Calls>,
     /// Whether proposals that wait are appended together.
     grouped: bool,
@@ -83,6 +86,7 @@
         disk: sync::Arc<dyn disk::Disk>,
         options: Options,
         machine: rc::Rc<cell::RefCell<dyn machine::Machine>>,
+        place: place::Place,
     ) -> (rc::Rc<Self>, mpsc::UnboundedReceiver<writer::Done>) {
         let (done_sender, done) = mpsc::unbounded_channel();
         let snapshot = boot.snapshot.as_ref();
@@ -96,6 +100,7 @@
         let driver = Self {
             core: cell::RefCell::new(replica::Core::new(Tick(0), boot)),
             machine,
+            place,
             calls: cell::RefCell::default(),
             grouped: options.grouped,
             applied: cell::RefCell::new(applied),
@@ -217,6 +222,21 @@
         core.membership().members.iter().map(|member| member.addr.clone()).collect()
     }
 
+    /// The addresses of all replicas known: of no others than the members while there is a leader.
+    pub(super) fn known_addrs(&self) -> Vec<String> {
+        let mut known = self.member_addrs();
+        if !self.is_led() {
+            let heard = self.place.heard();
+            known.extend(heard.iter().map(net::SocketAddr::to_string));
+        }
+        known
+    }
+
+    /// Where it is found, and where it looks for others.
+    pub(super) fn place(&self) -> &place::Place {
+        &self.place
+    }
+
     /// Whether this replica leads or hears from a leader.
     pub(super) fn is_led(&self) -> bool {
         !matches!(self.core.borrow().role(), message::Role::Follower(None))
--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -9,9 +9,10 @@
 use std::rc;
 use std::time;
 
+use futures_util::future;
+
 use crate::control::replica::driver;
 use crate::control::replica::peer;
-use crate::control::replica::place;
 use crate::wire;
 
 /// How often it asks.
@@ -23,12 +24,8 @@
 /// How long a replica may take to answer.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
-/// The most addresses it asks at.
-const MAX_KNOWN: usize = 32;
-
 /// Asks to be admitted while no leader counts this replica in.
-pub(super) async fn run(driver: rc::Rc<driver::Driver>, place: rc::Rc<place::Place>) {
-    let mut known = BTreeSet::new();
+pub(super) async fn run(driver: rc::Rc<driver::Driver>) {
     let mut alone = 0;
     loop {
         tokio::select! {
@@ -36,36 +33,29 @@
             () = driver.stopped() => return,
         }
         alone = if driver.is_led() { 0 } else { alone + 1 };
-        let seeds = place.seeds();
+        let seeds = driver.place().seeds();
         if alone < PATIENCE || seeds.is_empty() {
             continue;
         }
-        known.extend(seeds);
-        let members = driver.member_addrs();
-        known.extend(members.iter().filter_map(|addr| addr.parse::<net::SocketAddr>().ok()));
-        let others = known.iter().filter(|addr| **addr != place.own()).take(MAX_KNOWN);
-        let asked = futures_util::future::join_all(others.map(|addr| ask(&driver, &place, *addr)));
-        let answers = tokio::select! {
-            answers = asked => answers,
+        let known = driver.known_addrs();
+        let known = known.iter().filter_map(|addr| addr.parse::<net::SocketAddr>().ok());
+        let mut others: BTreeSet<_> = known.chain(seeds).collect();
+        others.remove(&driver.place().own());
+        let asked = future::join_all(others.into_iter().map(|addr| ask(&driver, addr)));
+        tokio::select! {
+            _ = asked => {}
             () = driver.stopped() => return,
-        };
-        known.extend(answers.into_iter().flatten());
+        }
     }
 }
 
-/// Tells one replica, and returns the members it knows.
-async fn ask(
-    driver: &driver::Driver,
-    place: &place::Place,
-    addr: net::SocketAddr,
-) -> Vec<net::SocketAddr> {
-    let Ok(mut session) = peer::Session::open(driver, addr).await else { return Vec::new() };
-    session.sender.send(&wire::peer::Up::Candidate(place.own().to_string())).await;
+/// Tells one replica, and takes note of the members it knows.
+async fn ask(driver: &driver::Driver, addr: net::SocketAddr) {
+    let Ok(mut session) = peer::Session::open(driver, addr).await else { return };
+    let own = driver.place().own().to_string();
+    session.sender.send(&wire::peer::Up::Candidate(own)).await;
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, session.receiver.receive()).await;
-    match answer {
-        Ok(Some(wire::peer::Down::Members(addrs))) => {
-            addrs.iter().filter_map(|addr| addr.parse().ok()).collect()
-        }
-        _ => Vec::new(),
+    if let Ok(Some(wire::peer::Down::Members(members))) = answer {
+        driver.place().hear(&members);
     }
 }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -137,13 +137,13 @@
             seed: random_u128()? as u64,
             guards: options.guards,
         };
-        let (inner, done) = driver::Driver::new(boot, store, disk, options, machine);
-        let place = rc::Rc::new(place::Place::new(settings, seeds));
+        let place = place::Place::new(settings, seeds);
+        let (inner, done) = driver::Driver::new(boot, store, disk, options, machine, place);
         let tasks = vec![
             actix_rt::spawn(driver::run(inner.clone(), done)),
             actix_rt::spawn(founding::run(inner.clone(), settings.peers.clone())),
-            actix_rt::spawn(joining::run(inner.clone(), place.clone())),
-            actix_rt::spawn(announcing::run(inner.clone(), place)),
+            actix_rt::spawn(joining::run(inner.clone())),
+            actix_rt::spawn(announcing::run(inner.clone())),
         ];
         Ok(rc::Rc::new(Self { inner, tasks: cell::RefCell::new(tasks) }))
     }
@@ -194,6 +194,10 @@
         self.inner.view()
     }
 
+    fn replicas(&self) -> Vec<String> {
+        self.inner.known_addrs()
+    }
+
     fn reconfigure(
         &self,
         replicas: Vec<(ids::ReplicaKey, String)>,
--- a/src/control/replica/peer.rs
+++ b/src/control/replica/peer.rs
@@ -303,11 +303,11 @@
             }
             (peer::Up::Candidate(addr), Some(id)) => {
                 driver.add_candidate(ids::ReplicaKey(id.replica), addr);
-                sender.try_send(&peer::Down::Members(driver.member_addrs()));
+                sender.try_send(&peer::Down::Members(driver.known_addrs()));
             }
-            // A member has these from the log, and one that stands by asks at its seeds.
-            (peer::Up::Members(_), Some(_)) => {
-                sender.try_send(&peer::Down::Members(driver.member_addrs()));
+            (peer::Up::Members(members), Some(_)) => {
+                driver.place().hear(&members);
+                sender.try_send(&peer::Down::Members(driver.known_addrs()));
             }
             (peer::Up::Envelope(envelope), Some(id)) if envelope.from == id => {
                 // A session that only asks who is here is no way to send answers.
--- a/src/control/runner_session.rs
+++ b/src/control/runner_session.rs
@@ -24,7 +24,7 @@
     }
     let mut role = proposer.shared.role.subscribe();
     let current = role.borrow_and_update().clone();
-    let replicas = replicas(&proposer);
+    let replicas = proposer.log.replicas();
     let machine::Role::Leader(term) = current else {
         sender.send(&runner::Down::NotLeader(leader_of(&current), replicas)).await;
         return;
@@ -77,11 +77,6 @@
     }
 }
 
-/// The addresses of all replicas.
-pub(super) fn replicas(proposer: &proposer::Proposer) -> Vec<String> {
-    proposer.log.view().peers.into_iter().map(|peer| peer.addr).collect()
-}
-
 /// The leader's address, as far as a follower knows it.
 pub(super) fn leader_of(role: &machine::Role) -> Option<String> {
     match role {
--- a/tests/testsuite/control_session.rs
+++ b/tests/testsuite/control_session.rs
@@ -58,6 +58,10 @@
         }
     }
 
+    fn replicas(&self) -> Vec<String> {
+        Vec::new()
+    }
+
     fn reconfigure(&self, _: Vec<(ids::ReplicaKey, String)>) -> Reply<()> {
         Box::pin(future::ready(Ok(())))
     }
--- a/tests/testsuite/discovery.rs
+++ b/tests/testsuite/discovery.rs
@@ -47,22 +47,21 @@
     ) -> net::SocketAddr {
         let number = self.settings.len() + 1;
         let addr = |host, port| net::SocketAddr::from((host, port));
-        let peers: Vec<_> = founders
-            .iter()
-            .map(|(host, number)| {
-                serde_json::json!({ "replica": number, "addr": addr(*host, PORTS.0) })
-            })
-            .collect();
         let text = serde_json::json!({
             "replica": number,
             "data_center": "dc",
             "data_folder": self.folder.path().join(number.to_string()),
             "listen": addr(host, PORTS.0),
             "http": addr(host, PORTS.1),
-            "peers": peers,
+            "peers": [{ "replica": number, "addr": addr(host, PORTS.0) }],
         });
-        let settings: settings::control::Settings =
+        let mut settings: settings::control::Settings =
             settings::parse(&text.to_string()).expect("sound settings");
+        let founder = |(host, replica): &(_, u64)| settings::control::Peer {
+            replica: *replica,
+            addr: addr(*host, PORTS.0),
+        };
+        settings.peers = founders.iter().map(founder).collect();
         let replica = control::Control::start_with(settings.clone(), seeds.into()).await;
         self.replicas.push(replica.expect("starts"));
         self.settings.push(settings);
