Keep replicas known that a stale answer leaves out

What a process had learnt of the replicas was whatever the last answer named. A replica or guide that has been away for long names members that are gone; if its answer comes last, the addresses that the others named are lost, and if the seeds are gone too, so is the way to the group.

Answers of those who do not lead now add to what is known, in a bounded list; only the leader's word replaces it, since only a leader knows that there are no other members.

Test guide::stale_answer_hides_no_replica: red before (the first answer's replicas are not in what was learnt), green now.

--- a/src/net/known.rs
+++ b/src/net/known.rs
@@ -15,12 +15,16 @@
         &self.0
     }
 
-    /// Adds addresses in front of those known before, which make room if they are too many.
+    /// Adds addresses in front of those known before, which make room if they are too many. Changes
+    /// nothing if all are known.
     pub fn add(&mut self, named: &[String]) {
         let mut addrs = parse(named);
-        addrs.extend(
-            self.0.iter().filter(|addr| !addrs.contains(addr)).copied().collect::<Vec<_>>(),
-        );
+        if addrs.iter().all(|addr| self.0.contains(addr)) {
+            return;
+        }
+        let before = self.0.iter().filter(|addr| !addrs.contains(addr));
+        let before: Vec<_> = before.copied().collect();
+        addrs.extend(before);
         addrs.truncate(MOST);
         self.0 = addrs;
     }
--- a/src/net/leader.rs
+++ b/src/net/leader.rs
@@ -11,6 +11,7 @@
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
 
+use crate::net::known;
 use crate::net::seeds;
 use crate::net::stream;
 use crate::telemetry::event;
@@ -18,9 +19,6 @@
 /// How long a replica may take to say whether it leads.
 const GREETING_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
 
-/// The most addresses that are remembered besides the seeds.
-const MAX_LEARNT: usize = 16;
-
 /// What a replica's first message says.
 pub enum Greeting {
     /// It leads; these are all replicas.
@@ -54,7 +52,7 @@
 /// Where to look for the leader.
 pub struct Finder {
     seeds: seeds::Seeds,
-    learnt: cell::RefCell<Vec<net::SocketAddr>>,
+    learnt: cell::RefCell<known::Known>,
     /// What the last search has come to, unless it found a leader.
     complaint: cell::RefCell<String>,
 }
@@ -90,7 +88,7 @@
 
     /// The addresses of all replicas known.
     pub fn known(&self) -> Vec<net::SocketAddr> {
-        let mut known = self.learnt.borrow().clone();
+        let mut known = self.learnt();
         for seed in self.seeds.addrs() {
             if !known.contains(&seed) {
                 known.push(seed);
@@ -101,16 +99,21 @@
 
     /// The addresses of the replicas that others have named.
     pub fn learnt(&self) -> Vec<net::SocketAddr> {
-        self.learnt.borrow().clone()
+        self.learnt.borrow().addrs().to_vec()
     }
 
     /// Takes note of the replicas that one of them, or somebody who looks for them, has named.
     pub fn learn(&self, from: net::SocketAddr, replicas: &[String]) {
-        let addrs = replicas.iter().filter_map(|addr| addr.parse().ok());
-        let fresh: Vec<_> = addrs.take(MAX_LEARNT).collect();
-        if !fresh.is_empty() && *self.learnt.borrow() != fresh {
-            event::general::REPLICAS_LEARNT.log(format_args!("from={from} replicas={fresh:?}"));
-            self.learnt.replace(fresh);
+        let mut known = self.learnt.borrow().clone();
+        known.add(replicas);
+        self.keep(from, known);
+    }
+
+    fn keep(&self, from: net::SocketAddr, known: known::Known) {
+        if *self.learnt.borrow() != known {
+            let addrs = known.addrs();
+            event::general::REPLICAS_LEARNT.log(format_args!("from={from} replicas={addrs:?}"));
+            self.learnt.replace(known);
         }
     }
 
@@ -171,7 +174,10 @@
         let Ok(Some(found)) = greeted else { return (addr, Dialled::Failed) };
         let dialled = match found.greeting.greeting() {
             Greeting::Leads(replicas) => {
-                self.learn(addr, &replicas);
+                // Only a leader knows that there are no others.
+                let mut known = self.learnt.borrow().clone();
+                known.replace(&replicas);
+                self.keep(addr, known);
                 Dialled::Leads(Box::new(found))
             }
             Greeting::Follows(leader, replicas) => {
--- a/tests/testsuite/guide.rs
+++ b/tests/testsuite/guide.rs
@@ -91,6 +91,19 @@
     });
 }
 
+/// A host that has been away names replicas of long ago; those named by others stay known.
+#[test]
+fn stale_answer_hides_no_replica() {
+    let finder = leader::Finder::new(Vec::new());
+    let somebody = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 7));
+    finder.learn(somebody, &named().replicas);
+    finder.learn(somebody, &["127.0.0.1:9".to_owned()]);
+    let learnt: Vec<_> = finder.learnt().iter().map(ToString::to_string).collect();
+    for replica in named().replicas {
+        assert!(learnt.contains(&replica), "{replica} is not in {learnt:?}");
+    }
+}
+
 /// A replica that is told of such a host only finds its way into the group.
 #[test]
 fn candidate_finds_the_group() {
