Let a newcomer ask to be admitted at once, past silent seeds

Cause of the delay: a store without a group waited 3 s for a leader that cannot know it, a round of asking waited for its slowest seed, and whom an answer named was asked in the next round only.

A store without a group asks at its start; each ask has 1 s from the dial on; whoever is named is asked at once. The order in which the group takes the newcomer in is a fault of its own.

Test guide::newcomer_is_seen_in_time_beside_a_silent_seed: 7.0 s before, green with the bound of 4 s now.

--- a/src/control/replica/joining.rs
+++ b/src/control/replica/joining.rs
@@ -9,7 +9,8 @@
 use std::rc;
 use std::time;
 
-use futures_util::future;
+use futures_util::stream::FuturesUnordered;
+use futures_util::stream::StreamExt as _;
 
 use crate::control::replica::driver;
 use crate::control::replica::peer;
@@ -18,44 +19,59 @@
 /// How often it asks.
 const PERIOD: time::Duration = time::Duration::from_millis(1000);
 
-/// How long no leader may be known before it asks: elections take less.
+/// How many periods a replica of a group waits for a leader before it asks: elections take less.
+/// A store without a group has no leader to wait for.
 const PATIENCE: u32 = 3;
 
-/// How long a replica may take to answer.
-const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// How long a replica may take to answer, from dialling it on.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// Asks to be admitted while no leader counts this replica in.
 pub(super) async fn run(driver: rc::Rc<driver::Driver>) {
     let mut alone = 0;
+    let mut period = tokio::time::interval(PERIOD);
+    period.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            () = tokio::time::sleep(PERIOD) => {}
+            _ = period.tick() => {}
             () = driver.stopped() => return,
         }
         alone = if driver.is_led() { 0 } else { alone + 1 };
-        let seeds = driver.place().seeds();
-        if alone < PATIENCE || seeds.is_empty() {
+        let patient = driver.group().is_some() && alone <= PATIENCE;
+        if alone == 0 || patient || driver.place().seeds().is_empty() {
             continue;
         }
-        let known = driver.known_addrs();
-        let known = known.iter().filter_map(|addr| addr.parse::<net::SocketAddr>().ok());
-        let mut others: BTreeSet<_> = known.chain(seeds).collect();
-        others.remove(&driver.place().own());
-        let asked = future::join_all(others.into_iter().map(|addr| ask(&driver, addr)));
         tokio::select! {
-            _ = asked => {}
+            () = ask_all(&driver) => {}
             () = driver.stopped() => return,
         }
     }
 }
 
+/// Tells every replica known, and those that they name.
+async fn ask_all(driver: &driver::Driver) {
+    let mut asked = BTreeSet::from([driver.place().own()]);
+    let mut asks = FuturesUnordered::new();
+    loop {
+        let known = driver.known_addrs();
+        let known = known.iter().filter_map(|addr| addr.parse().ok());
+        for addr in known.chain(driver.place().seeds()) {
+            if asked.insert(addr) {
+                asks.push(tokio::time::timeout(ANSWER_TIMEOUT, ask(driver, addr)));
+            }
+        }
+        if asks.next().await.is_none() {
+            return;
+        }
+    }
+}
+
 /// Tells one replica, and takes note of the members it knows.
 async fn ask(driver: &driver::Driver, addr: net::SocketAddr) {
     let Ok(mut session) = peer::Session::open(driver, addr).await else { return };
     let own = driver.place().own().to_string();
     session.sender.send(&wire::peer::Up::Candidate(own)).await;
-    let answer = tokio::time::timeout(ANSWER_TIMEOUT, session.receiver.receive()).await;
-    if let Ok(Some(wire::peer::Down::Members(members))) = answer {
+    if let Some(wire::peer::Down::Members(members)) = session.receiver.receive().await {
         driver.place().hear(&members);
     }
 }
--- a/tests/testsuite/guide.rs
+++ b/tests/testsuite/guide.rs
@@ -15,6 +15,9 @@
 use crate::replica_support;
 use crate::support;
 
+/// How long after its start a newcomer may still count as lost.
+const ADMISSION: time::Duration = time::Duration::from_secs(4);
+
 /// Knows a fixed leader and fixed replicas.
 struct Known {
     leader: Option<String>,
@@ -125,3 +128,26 @@
         tokio::time::timeout(time::Duration::from_secs(5), server.stop()).await.expect("an end");
     });
 }
+
+/// Until a replica that takes a lost one's place votes, the group bears no other loss.
+#[test]
+fn newcomer_is_seen_in_time_beside_a_silent_seed() {
+    support::run(async {
+        let mut group = replica_support::Group::start(3).await;
+        let replicas = group.nodes.iter().map(|node| node.member().1).collect();
+        let server = start(Known { leader: None, replicas }).await;
+        let silent = net::TcpListener::bind((support::own_host(), 0)).expect("a port");
+        let silent_addr = silent.local_addr().expect("its address");
+        let added = group.add().await;
+        group.nodes[added].settings.seeds = vec![silent_addr, server.addr()];
+        let since = time::Instant::now();
+        group.nodes[added].start().await;
+        let member = group.nodes[added].member();
+        let leader = group.nodes[group.leader().await].replica();
+        let seen = || leader.view().candidates.contains(&member);
+        replica_support::until("the leader to see the newcomer", seen).await;
+        assert!(since.elapsed() < ADMISSION, "it took {:?}", since.elapsed());
+        group.stop().await;
+        server.stop().await;
+    });
+}
