Add a failing test of a run on an earlier life of its worker

A job whose task was placed on a life that had ended meanwhile waits for ever once the leader goes before the end of that run is in the log.

--- a/tests/testsuite/dispatch.rs
+++ b/tests/testsuite/dispatch.rs
@@ -110,6 +110,29 @@
     assert_eq!(world.take_starts(), [(0, name("aa", 0), 2)]);
 }
 
+/// The leader goes after the placement on a life that had ended meanwhile, before the run's end.
+#[test]
+fn run_of_an_earlier_life_is_lost_for_a_new_leader_too() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    let early = world.propose();
+    world.report(flow::worker(0, 2), &[], &[]);
+    world.submit(1, "bb", vec![flow::step(1, 8)]);
+    let late = world.propose();
+    early.into_iter().chain(late).for_each(|command| {
+        world.apply(command);
+    });
+    world.change_leader();
+    world.connect(0);
+    world.report(flow::worker(0, 2), &[(name("bb", 0), 1, 10)], &[]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), [], "the worker is full");
+    let done = flow::finished(1, &name("bb", 0), 1, model::How::Done);
+    world.report(flow::worker(0, 2), &[], &[done]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), [(0, name("aa", 0), 2)]);
+}
+
 #[test]
 fn late_report_of_an_earlier_life_is_ignored() {
     let mut world = flow::World::with_workers(1);
--- a/tests/testsuite/support/flow.rs
+++ b/tests/testsuite/support/flow.rs
@@ -215,6 +215,17 @@
         self.settle();
     }
 
+    /// Lets the leader decide, and returns what it proposes instead of applying it.
+    pub fn propose(&mut self) -> Vec<command::Command> {
+        self.dispatch.tick(&self.book, moment(self.now));
+        let effects = self.dispatch.take_effects().into_iter();
+        let proposed = effects.filter_map(|effect| match effect {
+            order::Effect::Propose(command) => Some(command),
+            order::Effect::Order(..) | order::Effect::Stopping(..) => None,
+        });
+        proposed.collect()
+    }
+
     /// Applies what is proposed until nothing more is, and keeps the orders.
     pub fn settle(&mut self) {
         loop {
