End runs on earlier lives of workers when a replica begins to lead

Callers would see: an accepted job of which a task never starts again, on a deployment with room, until its worker is reborn once more and for good.

Cause: a placement is on its way into the log when its worker is reborn, and another run is placed on the new life before the first placement is applied. The leader then proposes the first run's end; if it goes before that is in the log, its successor adopts runs on two lives of one host. It took the later life as present, saw no change of life in the worker's reports, and so neither ended the run on the earlier one nor ordered it again. Its room counted as taken on the new life as well.

Change: a new leader proposes the end of all runs on lives before the present one of their host. That such a life is over is what its predecessor went by when it placed work on the later one.

Ruled out: the same within one term, where a placement that is applied for a life that has ended ends the run at once, and a report of another life ends all runs on the one before.

--- a/src/core/dispatch/lead.rs
+++ b/src/core/dispatch/lead.rs
@@ -67,6 +67,7 @@
                 dispatch.adopt(job, run.0, run.1, now);
             }
         }
+        dispatch.lose_earlier();
         dispatch
     }
 
@@ -244,6 +245,17 @@
         self.end_lost(lost);
     }
 
+    /// Runs on a life before the present one of their host have certainly ended, but no report
+    /// will tell: the predecessor knew and may have gone before that was in the log.
+    fn lose_earlier(&mut self) {
+        let earlier = self.runs.iter().filter(|(_, run)| {
+            let present = self.workers.get(&run.life.host).and_then(|worker| worker.life);
+            Some(run.life) < present
+        });
+        let earlier = earlier.map(|(key, _)| *key).collect();
+        self.end_lost(earlier);
+    }
+
     pub(super) fn end_lost(&mut self, keys: Vec<model::RunKey>) {
         let mut endings = Vec::new();
         for key in keys {
