--- a/tests/testsuite/replica.rs
+++ b/tests/testsuite/replica.rs
@@ -6,6 +6,7 @@
 use hemlockcleat::control::machine::Log as _;
 use hemlockcleat::control::replica;
 use hemlockcleat::core::consensus;
+use hemlockcleat::core::ids;
 use hemlockcleat::net::seeds;
 use hemlockcleat::net::stream;
 use hemlockcleat::store;
@@ -20,6 +21,9 @@
 /// Urgent work has to start within this time, also over a change of leader.
 const URGENT: time::Duration = time::Duration::from_millis(1600);
 
+/// How long a change may take on a busy machine.
+const PATIENCE: time::Duration = time::Duration::from_secs(20);
+
 #[rstest::rstest]
 #[case::one(1)]
 #[case::three(3)]
@@ -241,6 +245,69 @@
     });
 }
 
+/// A host that is gone for good gives its place to a new one, which is no part of any quorum
+/// before the other is none.
+#[test]
+fn replaced_voter_is_never_counted_beside_its_successor() {
+    support::run(async {
+        let (group, members) = one_of_three_replaced().await;
+        let leader = group.nodes[group.leader().await].replica();
+        let give_up = time::Instant::now() + PATIENCE;
+        loop {
+            let peers = leader.view().peers;
+            let voters = peers.iter().filter(|peer| peer.voter).map(|peer| peer.key);
+            let voters: Vec<_> = voters.collect();
+            assert!(voters.len() <= 3, "{peers:?}");
+            if members.iter().all(|(key, _)| voters.contains(key)) {
+                break;
+            }
+            assert!(time::Instant::now() < give_up, "the group has not changed: {peers:?}");
+            let _ = leader.reconfigure(members.clone()).await;
+        }
+        group.put(b"two").await;
+        group.stop().await;
+    });
+}
+
+#[test]
+fn newcomer_that_is_gone_again_stops_nobody() {
+    support::run(async {
+        let (mut group, members) = one_of_three_replaced().await;
+        let leader = group.nodes[group.leader().await].replica();
+        group.nodes[3].stop().await;
+        group.nodes[3].wipe();
+        // Longer than a leader needs to miss a follower.
+        tokio::time::sleep(consensus::ELECTION.to_duration() * 2).await;
+        for _ in 0..3 {
+            let changed = leader.reconfigure(members.clone());
+            let _ = tokio::time::timeout(time::Duration::from_secs(1), changed).await;
+        }
+        group.put(b"two").await;
+        group.stop().await;
+    });
+}
+
+/// A group of three that has lost a follower, with a fourth replica that has caught up and is to
+/// take its place; and the members that are wanted.
+async fn one_of_three_replaced() -> (replica_support::Group, Vec<(ids::ReplicaKey, String)>) {
+    let mut group = replica_support::Group::start(3).await;
+    group.put(b"one").await;
+    let leader = group.leader().await;
+    group.nodes[(leader + 1) % 3].stop().await;
+    let newcomer = group.add().await;
+    group.nodes[newcomer].start().await;
+    let kept = [leader, (leader + 2) % 3, newcomer];
+    let members: Vec<_> = kept.iter().map(|&node| group.nodes[node].member()).collect();
+    let leader = group.nodes[leader].replica();
+    leader.reconfigure(members.clone()).await.expect("a learner");
+    let key = members[2].0;
+    let caught_up = || leader.view().peers.iter().any(|peer| peer.key == key && peer.matched.0 > 0);
+    replica_support::until("the learner to catch up", caught_up).await;
+    // Longer than a leader needs to miss a follower.
+    tokio::time::sleep(consensus::ELECTION.to_duration() * 2).await;
+    (group, members)
+}
+
 #[rstest::rstest]
 #[case::no_hello(None, true)]
 #[case::other_version(Some(codec::VERSION + 1), true)]
