Drop a lost voter before its successor votes, and let no silent learner vote

Cause: a step of the change looked at what a learner had confirmed and not at whether it still answers; and a new voter was added before the lost one was dropped, so that even a newcomer that answers was needed for the quorum of its own admission. Class: a repair that for a moment bears less than the fault that it mends.

Change: membership::next_step is told how each member stands. Only a learner that answers becomes a voter, and a silent voter that is to go goes before that: two of two are needed then, as two of three were. A voter that still answers is replaced in the order that there was, which keeps one voter more.

Ruled out: removing silent voters without a successor, which would cost a vote for each cut.

What remains: the successor asked to be admitted 7 s after its start, while the platform counts on 4 s.

--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -149,12 +149,8 @@
         &self,
         targets: &[membership::Target],
     ) -> Option<calls::Answered<Vec<u8>>> {
-        let core = self.core.borrow();
-        let caught_up = |id| {
-            let matched = core.matched(id).0;
-            matched > 0 && matched + consensus::CAUGHT_UP >= core.last().0
-        };
-        let next = membership::next_step(core.membership(), targets, caught_up)?;
+        let (core, now) = (self.core.borrow(), self.now());
+        let next = membership::next_step(core.membership(), targets, |id| core.standing(now, id))?;
         self.wake.notify_one();
         Some(self.calls.borrow_mut().reconfigure(next))
     }
--- a/src/core/consensus/membership.rs
+++ b/src/core/consensus/membership.rs
@@ -2,6 +2,7 @@
 
 use crate::core::consensus::entry;
 use crate::core::ids;
+use crate::macros;
 
 /// A replica that a group should have.
 #[derive(Clone, Debug)]
@@ -14,14 +15,27 @@
     pub store: Option<ids::StoreKey>,
 }
 
+macros::small! {
+    /// How far a member is, as its leader sees it.
+    pub enum Standing {
+        /// It does not answer at present.
+        Silent,
+        /// It has not caught up.
+        Behind,
+        /// It has everything that a voter needs.
+        Ready,
+    }
+}
+
 /// The next single step from a membership towards the targets; none once there.
 ///
-/// A new store is a learner first. Once it has caught up, the store that it replaces is removed,
-/// then it becomes a voter. What is not a target goes last.
+/// A new store is a learner first. Once it is ready, the store that it replaces is removed, or a
+/// silent voter that is no target: with both counted, the group could not bear the loss of the new
+/// one. Then it becomes a voter. What is not a target goes last.
 pub fn next_step(
     current: &entry::Membership,
     targets: &[Target],
-    caught_up: impl Fn(entry::Identity) -> bool,
+    standing: impl Fn(entry::Identity) -> Standing,
 ) -> Option<entry::Membership> {
     let mut members = current.members.clone();
     for target in targets {
@@ -41,11 +55,14 @@
         let same = |target: &Target| target.replica == id.replica;
         targets.iter().any(|target| same(target) && target.store.is_none_or(|s| s == id.store))
     };
-    let learner = members.iter().position(|m| !m.voter && wanted(m.id) && caught_up(m.id));
+    let is_ready = |m: &entry::Member| standing(m.id) == Standing::Ready;
+    let learner = members.iter().position(|m| !m.voter && wanted(m.id) && is_ready(m));
     if let Some(position) = learner {
         let id = members[position].id;
         let replaced = |m: &entry::Member| m.voter && m.id.replica == id.replica;
-        match members.iter().position(replaced) {
+        let lost =
+            |m: &entry::Member| m.voter && !wanted(m.id) && standing(m.id) == Standing::Silent;
+        match members.iter().position(|m| replaced(m) || lost(m)) {
             Some(old) => {
                 members.remove(old);
             }
--- a/src/core/consensus/replica.rs
+++ b/src/core/consensus/replica.rs
@@ -223,6 +223,18 @@
         }
     }
 
+    /// How far a member is; known to a leader only.
+    pub fn standing(&self, now: time::Tick, id: entry::Identity) -> membership::Standing {
+        let matched = self.matched(id).0;
+        if self.last_heard(id).is_some_and(|heard| heard + consensus::ELECTION <= now) {
+            membership::Standing::Silent
+        } else if matched > 0 && matched + consensus::CAUGHT_UP >= self.last().0 {
+            membership::Standing::Ready
+        } else {
+            membership::Standing::Behind
+        }
+    }
+
     /// The role that was last announced.
     pub fn role(&self) -> message::Role {
         self.told
--- a/tests/testsuite/consensus_world.rs
+++ b/tests/testsuite/consensus_world.rs
@@ -337,8 +337,14 @@
         };
         let targets: Vec<_> = self.nodes.iter().map(target).collect();
         let Some(core) = &self.nodes[leader].core else { return Ok(()) };
-        let caught_up = |id| core.matched(id) >= core.committed();
-        let next = membership::next_step(core.membership(), &targets, caught_up);
+        let now = self.clock(leader);
+        let standing = |id| match core.standing(now, id) {
+            membership::Standing::Ready if core.matched(id) < core.committed() => {
+                membership::Standing::Behind
+            }
+            standing => standing,
+        };
+        let next = membership::next_step(core.membership(), &targets, standing);
         let Some(membership) = next else { return Ok(()) };
         self.tokens += 1;
         let token = self.tokens;
