Tell of steps that wait while others are served

The wait of a task for its first place was the only figure, over all ranks together.

- E221: a step with tasks that have waited for 5 s, 10 s, 20 s and so on, with the tasks of its own rank and of others that were placed meanwhile.
The doubling bounds the lines of a step by the logarithm of its wait.
- hemlockcleat_step_wait_seconds by rank, for each placement.

--- a/src/control/dispatch_loop.rs
+++ b/src/control/dispatch_loop.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 
 use crate::control::proposer;
+use crate::core::dispatch;
 use crate::core::dispatch::order;
 use crate::core::ledger::command;
 use crate::core::workflow;
@@ -66,15 +67,20 @@
         dispatch.tick(&shared.ledger.borrow().workflows, now);
         names::observe(names::DECISION_SECONDS, began.elapsed());
         for effect in dispatch.take_effects() {
-            carry_out(&proposer, effect, &mut pending);
+            carry_out(&proposer, dispatch, effect, &mut pending);
         }
     }
 }
 
-fn carry_out(proposer: &proposer::Proposer, effect: order::Effect, pending: &mut Pending) {
+fn carry_out(
+    proposer: &proposer::Proposer,
+    dispatch: &dispatch::Dispatch,
+    effect: order::Effect,
+    pending: &mut Pending,
+) {
     match effect {
         order::Effect::Propose(command) => {
-            log_proposal(&command);
+            log_proposal(dispatch, &command);
             let proposer = proposer.clone();
             pending.push(Box::pin(async move {
                 let command = command::Command::Workflow(command);
@@ -88,6 +94,10 @@
             metrics::counter!(names::RUNS_STOPPED, "why" => why.word()).increment(1);
             event::control::RUN_STOPPING.log(format_args!("{key} why={why}"));
         }
+        order::Effect::Waited(rank, waited) => names::observe_wait(rank, waited.to_duration()),
+        order::Effect::Passed(passed) => {
+            event::control::STEP_PASSED.log(format_args!("{passed}"));
+        }
         order::Effect::Order(host, order) => {
             let runners = proposer.shared.runners.borrow();
             let Some((_, sender)) = runners.get(&host) else { return };
@@ -99,14 +109,15 @@
     }
 }
 
-fn log_proposal(command: &workflow::command::Command) {
+fn log_proposal(dispatch: &dispatch::Dispatch, command: &workflow::command::Command) {
     match command {
         workflow::command::Command::Place(placements) => {
             for placement in placements {
                 event::control::TASK_PLACED.log(format_args!(
-                    "{} worker={}",
+                    "{} worker={} speed={:.2}",
                     placement.key(),
-                    placement.life
+                    placement.life,
+                    dispatch.speed(placement.life.host)
                 ));
             }
         }
--- a/src/core/dispatch/lead.rs
+++ b/src/core/dispatch/lead.rs
@@ -11,6 +11,7 @@
 use crate::core::dispatch::pace;
 use crate::core::dispatch::queue;
 use crate::core::dispatch::runs;
+use crate::core::dispatch::wait;
 use crate::core::ids;
 use crate::core::time;
 use crate::core::workflow::book;
@@ -38,8 +39,7 @@
     pub(super) health: health::Health,
     /// By the first task of the step.
     pub(super) claims: BTreeMap<model::TaskKey, Claim>,
-    /// Since when each step has tasks that wait, by its first task.
-    pub(super) idle: BTreeMap<model::TaskKey, time::Tick>,
+    pub(super) waits: wait::Waits,
     pub(super) effects: Vec<order::Effect>,
 }
 
@@ -59,7 +59,7 @@
             runs: BTreeMap::new(),
             health,
             claims: BTreeMap::new(),
-            idle: BTreeMap::new(),
+            waits: wait::Waits::default(),
             effects: Vec::new(),
         };
         for (key, job) in &book.jobs {
@@ -86,6 +86,11 @@
         &self.runs
     }
 
+    /// How fast a host is believed to be; 1 where nothing is known.
+    pub fn speed(&self, host: u32) -> f64 {
+        self.health.speed(host)
+    }
+
     fn adopt(&mut self, job: &job::Job, key: model::RunKey, life: model::Life, now: Moment) {
         let until = fleet::end_of_lease(now.tick, self.lease);
         let worker = self
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -11,6 +11,7 @@
 //! - [`pace`]: how a run gets on
 //! - [`health`]: how fast workers are, and which can be trusted
 //! - [`queue`]: which steps wait, and which of them goes first
+//! - [`wait`]: how long steps have waited, and what was placed meanwhile
 //! - [`fit`]: where the tasks of a step fit
 //! - [`reclaim`]: what to stop so that urgent work fits
 //! - [`record`]: what the log tells of the workers
@@ -30,6 +31,7 @@
 mod relieve;
 mod report;
 pub mod runs;
+pub mod wait;
 
 pub use lead::Dispatch;
 
--- a/src/core/dispatch/order.rs
+++ b/src/core/dispatch/order.rs
@@ -1,5 +1,6 @@
 //! What agents report of their workers, and what they are ordered to do.
 
+use crate::core::dispatch::queue;
 use crate::core::ids;
 use crate::core::time;
 use crate::core::workflow::command;
@@ -127,6 +128,10 @@
         Order(u32, Order),
         /// Log why a run is to stop.
         Stopping(model::RunKey, Why),
+        /// Record how long a step of this rank has waited of which tasks are placed now.
+        Waited(u32, time::Millis),
+        /// Log that a step was passed over for long.
+        Passed(Passed),
     }
 }
 
@@ -156,6 +161,28 @@
         Leaving,
     }
 
+    /// A step that has waited for long.
+    pub struct Passed {
+        /// Its job.
+        pub job: ids::JobKey,
+        /// The occurrence of the job.
+        pub occurrence: u32,
+        /// Its number.
+        pub step: u32,
+        /// Its rank.
+        pub rank: u32,
+        /// What it can still achieve.
+        pub prospect: queue::Prospect,
+        /// How many of its tasks wait.
+        pub tasks: usize,
+        /// How long some of them have waited.
+        pub waited: time::Millis,
+        /// Tasks of its rank that were placed in that time.
+        pub own: u64,
+        /// Tasks of other ranks that were placed in that time.
+        pub others: u64,
+    }
+
     /// The time of an input.
     pub struct Moment {
         /// On the steady clock.
@@ -178,6 +205,15 @@
     }
 }
 
+impl std::fmt::Display for Passed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { job, occurrence, step, rank, prospect, tasks, waited, own, others } = self;
+        write!(f, "job={job} occurrence={occurrence} step={step} rank={rank} ")?;
+        write!(f, "prospect={prospect:?} tasks={tasks} waited_ms={} ", waited.0)?;
+        write!(f, "own={own} others={others}")
+    }
+}
+
 impl std::fmt::Display for Why {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(self.word())?;
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -1,6 +1,5 @@
 //! Placing what waits, in its order, and making room for urgent work.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use crate::core::dispatch::fit;
@@ -57,14 +56,11 @@
     /// Places what waits, in its order, and makes room for urgent work.
     pub(super) fn plan(&mut self, book: &book::Book, now: Moment) {
         let mut placements = Vec::new();
-        let mut idle = BTreeMap::new();
         let queue = queue::waiting(book, now);
+        self.waits.keep(&queue, now.tick);
         let alone = queue.windows(2).all(|pair| pair[0].first.job == pair[1].first.job);
         for waiting in &queue {
             let waiting = *waiting;
-            let since = self.idle.get(&waiting.first).copied().unwrap_or(now.tick);
-            self.idle.insert(waiting.first, since);
-            idle.insert(waiting.first, since);
             let Some(job) = book.jobs.get(&waiting.first.job) else { continue };
             let indices = self.unplaced(job, waiting.first);
             let step = job.step(waiting.first.step);
@@ -74,14 +70,27 @@
             let turn = Turn { job, waiting, ask: self.ask(book, job, &waiting, now) };
             let limit = self.share(turn, alone);
             let fair = &indices[..limit.min(indices.len())];
-            placements.extend(self.serve(book, turn, fair, now));
+            let placed = self.serve(book, turn, fair, now);
+            self.tell(&turn, placed.len(), indices.len(), now);
+            placements.extend(placed);
         }
-        self.idle = idle;
         if !placements.is_empty() {
             self.effects.push(order::Effect::Propose(command::Command::Place(placements)));
         }
     }
 
+    /// Takes note of what was placed of a step, and tells of what was left out for long.
+    fn tell(&mut self, turn: &Turn<'_>, placed: usize, count: usize, now: Moment) {
+        self.waits.placed(turn.waiting.rank, placed);
+        if placed > 0 {
+            let waited = turn.ask.waited;
+            self.effects.push(order::Effect::Waited(turn.waiting.rank, waited));
+        }
+        let told =
+            (placed < count).then(|| self.waits.tell(&turn.waiting, count - placed, now.tick));
+        self.effects.extend(told.flatten().map(order::Effect::Passed));
+    }
+
     /// How many more tasks of a step may start: long ones take no more than half of a pool beyond
     /// their guarantee while other jobs wait, and very long ones at no time, since others will come.
     fn share(&self, turn: Turn<'_>, alone: bool) -> usize {
@@ -200,7 +209,7 @@
             pool,
             urgent: waiting.rank <= queue::URGENT,
             last: waiting.rank > KEPT_RANK,
-            waited: self.idle.get(&waiting.first).map_or(time::Millis(0), |idle| now.tick - *idle),
+            waited: self.waits.waited(waiting.first, now.tick),
             crowded: self.is_crowded(pool),
         }
     }
--- /dev/null
+++ b/src/core/dispatch/wait.rs
@@ -0,0 +1,91 @@
+//! How long steps have waited, and what was placed meanwhile.
+//!
+//! Answers a step that waits although others are served: whether work of other ranks took the room or
+//! later work of its own rank can be told from the counts.
+
+use std::collections::BTreeMap;
+
+use crate::core::dispatch::order;
+use crate::core::dispatch::queue;
+use crate::core::time;
+use crate::core::workflow::model;
+
+/// How long a step waits before that is told; the time doubles with each telling.
+const TELL_AFTER: time::Millis = time::Millis(5000);
+
+/// A step that waits.
+#[derive(Clone, Copy, Debug)]
+struct Wait {
+    since: time::Tick,
+    /// After how long it is told of next.
+    tell: time::Millis,
+    /// How many tasks of its rank and of all ranks had been placed when it began to wait.
+    placed: (u64, u64),
+}
+
+/// The steps that wait, by their first task.
+#[derive(Debug, Default)]
+pub struct Waits {
+    steps: BTreeMap<model::TaskKey, Wait>,
+    /// How many tasks of each rank have been placed.
+    placed: BTreeMap<u32, u64>,
+}
+
+impl Waits {
+    /// Takes note of which steps wait now; the rest is forgotten.
+    pub fn keep(&mut self, waiting: &[queue::Waiting], now: time::Tick) {
+        let mut steps = BTreeMap::new();
+        for step in waiting {
+            let fresh = || Wait { since: now, tell: TELL_AFTER, placed: self.counts(step.rank) };
+            let wait = self.steps.get(&step.first).copied().unwrap_or_else(fresh);
+            steps.insert(step.first, wait);
+        }
+        self.steps = steps;
+    }
+
+    /// How long a step has waited.
+    pub fn waited(&self, first: model::TaskKey, now: time::Tick) -> time::Millis {
+        self.steps.get(&first).map_or(time::Millis(0), |wait| now - wait.since)
+    }
+
+    /// Tasks of a rank have been placed.
+    pub fn placed(&mut self, rank: u32, count: usize) {
+        *self.placed.entry(rank).or_default() += count as u64;
+    }
+
+    /// What is to be told of a step with tasks that were left out, if it is time.
+    pub fn tell(
+        &mut self,
+        step: &queue::Waiting,
+        tasks: usize,
+        now: time::Tick,
+    ) -> Option<order::Passed> {
+        let (own, all) = self.counts(step.rank);
+        let wait = self.steps.get_mut(&step.first)?;
+        let waited = now - wait.since;
+        if waited < wait.tell {
+            return None;
+        }
+        wait.tell = time::Millis(wait.tell.0 * 2);
+        let own = own - wait.placed.0;
+        let others = all - wait.placed.1 - own;
+        let model::TaskKey { job, occurrence, step: number, .. } = step.first;
+        Some(order::Passed {
+            job,
+            occurrence,
+            step: number,
+            rank: step.rank,
+            prospect: step.prospect,
+            tasks,
+            waited,
+            own,
+            others,
+        })
+    }
+
+    /// How many tasks of a rank and of all ranks have been placed.
+    fn counts(&self, rank: u32) -> (u64, u64) {
+        let own = self.placed.get(&rank).copied().unwrap_or(0);
+        (own, self.placed.values().sum())
+    }
+}
--- a/src/telemetry/event/control.rs
+++ b/src/telemetry/event/control.rs
@@ -25,6 +25,7 @@
     JOB_ENDED,
     RUN_STOPPING,
     JOB_REFUSED,
+    STEP_PASSED,
 ];
 
 /// A committed entry can't be decoded; it was written by another version.
@@ -69,3 +70,5 @@
 pub const RUN_STOPPING: Event = Event::new(219, log::Level::Info, "run to be stopped");
 /// A submission or a cancel was refused, by a version of the configuration.
 pub const JOB_REFUSED: Event = Event::new(220, log::Level::Info, "job refused");
+/// A step has waited for long while others were served.
+pub const STEP_PASSED: Event = Event::new(221, log::Level::Info, "step passed over");
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -57,6 +57,12 @@
 /// Time from a workflow's acceptance to the first placement of each of its tasks.
 pub const PLACE_SECONDS: &str = "hemlockcleat_task_wait_seconds";
 
+/// How long a step had waited when tasks of it were placed, by `rank`; after a stop it waits anew.
+pub const STEP_SECONDS: &str = "hemlockcleat_step_wait_seconds";
+
+/// Ranks that are told apart; lower ones count with the last of them.
+const RANKS: u32 = 8;
+
 /// What a metric measures.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -89,6 +95,7 @@
     metric(RUNS_ENDED, Kind::Counter, "Runs of tasks that ended, by how"),
     metric(RUNS_STOPPED, Kind::Counter, "Runs of tasks ordered to stop, by why"),
     metric(PLACE_SECONDS, Kind::Histogram, "From acceptance to a task's first placement"),
+    metric(STEP_SECONDS, Kind::Histogram, "Wait of a step for places, by rank"),
     metric(REQUESTS, Kind::Counter, "Requests answered, by outcome"),
     metric(REQUEST_SECONDS, Kind::Histogram, "From a request's arrival to its answer"),
     metric(RESPONSES, Kind::Counter, "HTTP responses, by status"),
@@ -146,6 +153,17 @@
 /// Records one span of time under a histogram's name.
 pub fn observe(name: &'static str, span: time::Duration) {
     metrics::histogram!(name).record(span.as_secs_f64());
+    drain();
+}
+
+/// Records how long a step of a rank had waited for places.
+pub fn observe_wait(rank: u32, span: time::Duration) {
+    let rank = rank.min(RANKS).to_string();
+    metrics::histogram!(STEP_SECONDS, "rank" => rank).record(span.as_secs_f64());
+    drain();
+}
+
+fn drain() {
     let observed = OBSERVED.fetch_add(1, atomic::Ordering::Relaxed) + 1;
     if observed.is_multiple_of(DRAIN_EVERY)
         && let Some(Some(handle)) = HANDLE.get()
--- a/tests/testsuite/support/flow.rs
+++ b/tests/testsuite/support/flow.rs
@@ -239,7 +239,9 @@
                         self.apply(command);
                     }
                     order::Effect::Order(host, order) => self.orders.push((host, order)),
-                    order::Effect::Stopping(..) => {}
+                    order::Effect::Stopping(..)
+                    | order::Effect::Waited(..)
+                    | order::Effect::Passed(..) => {}
                 }
             }
         }
