End what has begun before more of its rank is begun

What callers saw. Jobs of which 25 of 26 tasks were done waited 22 s for the last, others 42 s for two of six, and ended far beyond their objective.

Steps of a rank were served by the end of the whole job's objective, those late by their estimate last. What displacement or a full pool had left of a job so went behind all jobs that came later with a nearer objective, however small it was. Many jobs were begun and none was ended: a head-of-line order that does not see how much of a job is done.

The strict order of ranks alone: the rank held a fifth to a third of the accelerators all the time before the power cut.

The due time of a job is the end of its objective at first, and moves towards its acceptance by the part of its work that is placed or done. A late job lets others pass only while more than half of its work waits. Guaranteed jobs keep their order.

Why it works. A job earns when it is complete. Work that ends a job soon costs the others little time, and a job that has waited long or is nearly done can't be passed over without end by later ones.

--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -1,11 +1,16 @@
 //! Which steps wait for room, and which of them goes first.
 //!
 //! Urgent jobs within their client account's guarantee come first, then other urgent jobs, then
-//! the queues by their rank. Within a rank the job whose objective ends first goes first.
+//! the queues by their rank. Within a rank the job that is due first goes first: at the end of its
+//! objective as a whole, and sooner the less of its work waits.
 //!
 //! Answers bursts in which not all can be served in time: a job that can't make its objective any
 //! more lets those pass that still can, and one that is past any use goes behind all others of its
 //! rank. Without that, the first late job makes all behind it late.
+//!
+//! Answers jobs of which displacement, failures or a full pool have left out a few tasks: a job is of
+//! use only once it is complete, so what has begun is ended before more is begun beside it, and a job
+//! that is late by its estimate keeps its turn if only a rest of it waits.
 
 use std::collections::BTreeMap;
 
@@ -31,6 +36,9 @@
 /// even that fits into the rest of its objective. Callers' estimates are wrong by a factor of two.
 const LEAST_PART: u64 = 60;
 
+/// The largest part of its work, in percent, that waits of a job of which only a rest is left.
+const REST: u64 = 50;
+
 macros::small! {
     /// What a step that starts now can still achieve for its job.
     pub enum Prospect {
@@ -48,10 +56,12 @@
 pub struct Waiting {
     /// The rank of its job; lower goes first.
     pub rank: u32,
+    /// Why it lets others of its rank pass, if it does: late with more than a rest, or past any use.
+    pub yields: Option<Prospect>,
+    /// When the job is due, in civil time: the end of its objective, sooner if a part is placed.
+    pub due: u64,
     /// What it can still achieve.
     pub prospect: Prospect,
-    /// When the job's objective ends, in civil time.
-    pub objective: u64,
     /// The first of its tasks.
     pub first: model::TaskKey,
 }
@@ -77,10 +87,14 @@
                 let rest = chain(&job.submission.workflow, step);
                 let first =
                     model::TaskKey { job: key, occurrence: *number, step: step as u32, index: 0 };
+                let prospect = prospect(rank, now.wall.0, (since, span.0), rest);
+                let left = if rank == GUARANTEED { 100 } else { left(job, occurrence) };
+                let is_rest = prospect == Prospect::Late && left <= REST;
                 found.push(Waiting {
                     rank,
-                    prospect: prospect(rank, now.wall.0, (since, span.0), rest),
-                    objective: since + span.0,
+                    yields: Some(prospect).filter(|it| *it > Prospect::InTime && !is_rest),
+                    due: since + span.0 * left / 100,
+                    prospect,
                     first,
                 });
             }
@@ -104,6 +118,18 @@
     if ends > since + span { Prospect::Late } else { Prospect::InTime }
 }
 
+/// The part of a job's work that waits, in percent, by its estimates.
+fn left(job: &job::Job, occurrence: &job::Occurrence) -> u64 {
+    let (mut waits, mut all) = (0, 0);
+    for (step, tasks) in job.submission.workflow.steps.iter().zip(&occurrence.steps) {
+        let work = u64::from(step.estimate) * u64::from(step.accelerators.max(1));
+        let waiting = tasks.iter().filter(|task| task.place == job::Place::Waiting).count();
+        waits += work * waiting as u64;
+        all += work * tasks.len() as u64;
+    }
+    waits * 100 / all.max(1)
+}
+
 /// The rank of a job whatever guarantees its client account has.
 pub fn plain_rank(job: &job::Job) -> u32 {
     URGENT + job.submission.priority
