--- a/tests/testsuite/support/flow.rs
+++ b/tests/testsuite/support/flow.rs
@@ -221,7 +221,10 @@
         let effects = self.dispatch.take_effects().into_iter();
         let proposed = effects.filter_map(|effect| match effect {
             order::Effect::Propose(command) => Some(command),
-            order::Effect::Order(..) | order::Effect::Stopping(..) => None,
+            order::Effect::Order(..)
+            | order::Effect::Stopping(..)
+            | order::Effect::Waited(..)
+            | order::Effect::Passed(..) => None,
         });
         proposed.collect()
     }
