Bound how long a change of members waits for a host that hangs

A step of a change asks each wanted replica which store it has and waited for the slowest: 3 s for a host without power or cut off, so that a newcomer voted after 6 s where the group may bear the next loss after 4.

Change: a replica that has not answered within 500 ms counts as not reached, as one that refuses the connection does; the next step asks again.

Before and after: replica::host_that_hangs_holds_no_newcomer_up, 6.1 s and red before the change, green after it (bound 4 s). replica, replica_cut and process_replicas tests pass (28).

Not covered: the newcomer's own search for the group has the same wait.

--- a/src/control/replica/peer.rs
+++ b/src/control/replica/peer.rs
@@ -26,6 +26,10 @@
 /// How long the answer to a hello may take.
 const HELLO_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// How long a replica may take to say which store it has: every step of a change of members waits
+/// for the slowest of them, and a group bears no loss before the change is done.
+const FIND_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
 /// How often an idle link says hello.
 const KEEP_ALIVE: time::Duration = time::Duration::from_secs(5);
 
@@ -330,12 +334,15 @@
     let find = |(replica, addr): (ids::ReplicaKey, String)| async move {
         let store = match addr.parse() {
             _ if replica == driver.id().replica => Some(driver.id().store),
-            Ok(socket) => match Session::open(driver, socket).await {
-                Ok(session) if session.hello.id.replica == replica.0 => {
-                    Some(ids::StoreKey(session.hello.id.store))
+            Ok(socket) => {
+                let opened = Session::open(driver, socket);
+                match tokio::time::timeout(FIND_TIMEOUT, opened).await {
+                    Ok(Ok(session)) if session.hello.id.replica == replica.0 => {
+                        Some(ids::StoreKey(session.hello.id.store))
+                    }
+                    _ => None,
                 }
-                _ => None,
-            },
+            }
             Err(_) => None,
         };
         membership::Target { replica, addr, store }
--- a/tests/testsuite/replica.rs
+++ b/tests/testsuite/replica.rs
@@ -21,6 +21,9 @@
 /// Urgent work has to start within this time, also over a change of leader.
 const URGENT: time::Duration = time::Duration::from_millis(1600);
 
+/// A group has to be whole again this long after a lost host's successor has started.
+const ADMITTED: time::Duration = time::Duration::from_secs(4);
+
 /// How long a change may take on a busy machine.
 const PATIENCE: time::Duration = time::Duration::from_secs(20);
 
@@ -287,6 +290,30 @@
     });
 }
 
+/// A host that hangs is wanted as well; the newcomer is taken in all the same.
+#[test]
+fn host_that_hangs_holds_no_newcomer_up() {
+    support::run(async {
+        let mut group = replica_support::Group::start(3).await;
+        let newcomer = group.add().await;
+        group.nodes[newcomer].start().await;
+        let hangs = std::net::TcpListener::bind((support::own_host(), 0)).expect("a port");
+        let hangs = hangs.local_addr().map(|addr| (ids::ReplicaKey(9), addr.to_string()));
+        let mut members: Vec<_> = group.nodes.iter().map(replica_support::Node::member).collect();
+        members.push(hangs.expect("an address"));
+        let leader = group.nodes[group.leader().await].replica();
+        let key = group.nodes[newcomer].member().0;
+        let votes = |peer: &machine::PeerView| peer.key == key && peer.voter;
+        let began = time::Instant::now();
+        while !leader.view().peers.iter().any(votes) {
+            assert!(began.elapsed() < PATIENCE, "{:?}", leader.view().peers);
+            let _ = leader.reconfigure(members.clone()).await;
+        }
+        assert!(began.elapsed() < ADMITTED, "{:?}", began.elapsed());
+        group.stop().await;
+    });
+}
+
 /// A group of three that has lost a follower, with a fourth replica that has caught up and is to
 /// take its place; and the members that are wanted.
 async fn one_of_three_replaced() -> (replica_support::Group, Vec<(ids::ReplicaKey, String)>) {
