Fill the place of a dropped voter at once

Operators saw nothing of it yet: found in a review of the repair's order. Since a lost voter is dropped before its successor votes, a group of three is for a while a group of two, in which the loss of either disk leaves no quorum for good, although the dropped store may still be there and the successor holds everything. The promise that one disk may go is broken for as long.

Cause: a change of members takes one step, then rests for 150 ms and asks every target for its store again, which takes up to 3 s where one does not answer. The rest is meant for learners that have to catch up; the successor of a dropped voter has done so before the step. Class: a repair that for a moment bears less than it mends.

Ruled out: the old order (the successor votes first), which stops the group if the successor is lost; both at once, which needs joint quorums.

After a step that drops a voter the next step follows as soon as the first is committed. The place is empty for one commit. A successor that is silent by then is not counted on, as before: the change ends there and is tried again.

Test replica::dropped_voter_leaves_no_place_empty: 2 voters for 3 after the change before, 3 after.

--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -212,6 +212,11 @@
         candidates.iter().map(|(replica, (addr, _))| (*replica, addr.clone())).collect()
     }
 
+    /// How many members vote.
+    pub(super) fn voters(&self) -> usize {
+        self.core.borrow().membership().voters().count()
+    }
+
     /// The addresses of all members.
     pub(super) fn member_addrs(&self) -> Vec<String> {
         let core = self.core.borrow();
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -205,9 +205,14 @@
         let inner = self.inner.clone();
         Box::pin(async move {
             let targets = peer::find(&inner, replicas).await;
-            match inner.reconfigure(&targets) {
-                Some(answered) => answer(answered).await.map(|_| ()),
-                None => Ok(()),
+            loop {
+                let voters = inner.voters();
+                let Some(answered) = inner.reconfigure(&targets) else { return Ok(()) };
+                answer(answered).await?;
+                // While a dropped voter has no successor, the group bears less than before.
+                if inner.voters() >= voters {
+                    return Ok(());
+                }
             }
         })
     }
--- a/tests/testsuite/replica.rs
+++ b/tests/testsuite/replica.rs
@@ -272,6 +272,19 @@
     });
 }
 
+/// While the place of a lost voter is empty, nobody else may lose a disk.
+#[test]
+fn dropped_voter_leaves_no_place_empty() {
+    support::run(async {
+        let (group, members) = one_of_three_replaced().await;
+        let leader = group.nodes[group.leader().await].replica();
+        leader.reconfigure(members).await.expect("a change");
+        let peers = leader.view().peers;
+        assert_eq!(peers.iter().filter(|peer| peer.voter).count(), 3, "{peers:?}");
+        group.stop().await;
+    });
+}
+
 #[test]
 fn newcomer_that_is_gone_again_stops_nobody() {
     support::run(async {
