Tell each seed on time, although another is silent

A seed without a disk that restarts is to be told of the replicas within a second. Where another seed accepts nothing (no power, cut off), it was told every four seconds only, and whoever relied on it found no leader for as long.

Cause: a round of announcements ended when the slowest seed had answered or the time to connect (3 s) was over.

Ruled out: a bound of a second for each seed, which a choked link would never meet, so that a seed behind it would never be told.

Each seed is now told by itself: a round skips those that have not answered yet.

--- a/src/control/replica/announcing.rs
+++ b/src/control/replica/announcing.rs
@@ -3,11 +3,13 @@
 //! A process that starts knows seeds only, and these may be hosts that keep nothing over a restart.
 //! The members have one another's addresses in the log, so they are the ones who can pass them on.
 
+use std::collections::BTreeSet;
 use std::net;
 use std::rc;
 use std::time;
 
-use futures_util::future;
+use futures_util::stream::FuturesUnordered;
+use futures_util::stream::StreamExt as _;
 
 use crate::control::replica::driver;
 use crate::control::replica::peer;
@@ -21,25 +23,42 @@
 
 /// Tells the seeds that are no members, from the moment on in which a leader counts this replica in.
 pub(super) async fn run(driver: rc::Rc<driver::Driver>) {
+    let mut tells = FuturesUnordered::new();
+    let mut busy = BTreeSet::new();
     loop {
-        let told = async {
+        let round = async {
             driver.until(driver::Driver::is_led).await;
             let members = driver.member_addrs();
-            let is_member = |addr: &net::SocketAddr| members.contains(&addr.to_string());
-            let seeds = driver.place().seeds().into_iter().filter(|addr| !is_member(addr));
-            future::join_all(seeds.map(|addr| tell(&driver, addr, members.clone()))).await;
-            tokio::time::sleep(PERIOD).await;
+            for addr in driver.place().seeds() {
+                if !members.contains(&addr.to_string()) && busy.insert(addr) {
+                    tells.push(tell(&driver, addr, members.clone()));
+                }
+            }
+            // One seed that does not answer must not hold up the others.
+            let mut rest = std::pin::pin!(tokio::time::sleep(PERIOD));
+            loop {
+                tokio::select! {
+                    Some(addr) = tells.next() => busy.remove(&addr),
+                    () = &mut rest => return,
+                };
+            }
         };
         tokio::select! {
-            () = told => {}
+            () = round => {}
             () = driver.stopped() => return,
         }
     }
 }
 
-/// Tells one seed; one that does not answer is told again with the next round.
-async fn tell(driver: &driver::Driver, addr: net::SocketAddr, members: Vec<String>) {
-    let Ok(mut session) = peer::Session::open(driver, addr).await else { return };
-    session.sender.send(&wire::peer::Up::Members(members)).await;
-    let _ = tokio::time::timeout(ANSWER_TIMEOUT, session.receiver.receive()).await;
+/// Tells one seed, and returns it; one that does not answer is told again with the next round.
+async fn tell(
+    driver: &driver::Driver,
+    addr: net::SocketAddr,
+    members: Vec<String>,
+) -> net::SocketAddr {
+    if let Ok(mut session) = peer::Session::open(driver, addr).await {
+        session.sender.send(&wire::peer::Up::Members(members)).await;
+        let _ = tokio::time::timeout(ANSWER_TIMEOUT, session.receiver.receive()).await;
+    }
+    addr
 }
--- a/tests/testsuite/discovery.rs
+++ b/tests/testsuite/discovery.rs
@@ -1,7 +1,9 @@
 //! How processes that have forgotten everything find the replicas again.
 
+use std::cell;
 use std::net;
 use std::rc;
+use std::time;
 
 use hemlockcleat::control;
 use hemlockcleat::control::guide;
@@ -16,6 +18,9 @@
 /// The ports of a control replica, on a host of its own.
 const PORTS: (u16, u16) = (7000, 7002);
 
+/// A seed is told every second, and may have to wait for a busy machine.
+const RETOLD: time::Duration = time::Duration::from_millis(2000);
+
 /// Control replicas that look for one another at a few addresses.
 struct Cell {
     settings: Vec<settings::control::Settings>,
@@ -155,3 +160,53 @@
         cell.stop().await;
     });
 }
+
+/// A seed that does not answer holds up what the others are told.
+#[test]
+fn seed_is_told_beside_a_silent_one() {
+    support::run(async {
+        let (silent, seed) = (silent().await, reserved());
+        let told = rc::Rc::new(Told::default());
+        let handler = rc::Rc::new(guide::Guide::new(0, told.clone()));
+        let server = stream::Server::bind(seed, 64, handler).await.expect("a port");
+        let cell = Cell::start(&[silent.addr, seed]).await;
+        replica_support::until("the seed to be told", || told.times.borrow().len() >= 12).await;
+        let times = told.times.take();
+        let longest = times.windows(2).map(|pair| pair[1] - pair[0]).max();
+        assert!(longest < Some(RETOLD), "{longest:?}");
+        server.stop().await;
+        cell.stop().await;
+    });
+}
+
+/// Accepts connections and says nothing.
+struct Silent {
+    addr: net::SocketAddr,
+    _listener: tokio::net::TcpListener,
+}
+
+async fn silent() -> Silent {
+    let any = net::SocketAddr::from((support::own_host(), 0));
+    let listener = tokio::net::TcpListener::bind(any).await.expect("a port");
+    Silent { addr: listener.local_addr().expect("its address"), _listener: listener }
+}
+
+/// Remembers when it was told of replicas.
+#[derive(Default)]
+struct Told {
+    times: cell::RefCell<Vec<time::Instant>>,
+}
+
+impl guide::Directions for Told {
+    fn leader(&self) -> Option<String> {
+        None
+    }
+
+    fn replicas(&self) -> Vec<String> {
+        Vec::new()
+    }
+
+    fn learn(&self, _: net::SocketAddr, _: &[String]) {
+        self.times.borrow_mut().push(time::Instant::now());
+    }
+}
