Ask named replicas in the same search

Gates and agents that know two seeds, one of them silent, found no leader for 1.5 s although the other seed had named all replicas at once.

Cause: a search went only to an address that was said to lead. Other replicas that were named in its course were asked by the next search, and the search ended with its slowest dial. A guide that has restarted and was told by the members names replicas but no leader, so this is the usual case after a loss of power. Class: a process that waits for the slowest peer.

Ruled out: a shorter bound for a dial, which a choked link would not meet.

After each answer the search dials all addresses that are known by then.

Test discovery::named_replicas_are_asked_in_the_same_search: the search ended without the leader before, and finds it after.

--- a/src/net/leader.rs
+++ b/src/net/leader.rs
@@ -127,32 +127,34 @@
         }
     }
 
-    /// Dials all known replicas at once, and those that they name as leader, and returns the first
-    /// that says it leads. None if no replica does.
+    /// Dials all known replicas at once, and those that they name as soon as they do, and returns the
+    /// first that says it leads. None if no replica does.
     pub async fn find<Up, Down>(&self, path: &str, hello: &Up) -> Option<Found<Up, Down>>
     where
         Up: bincode::Encode,
         Down: bincode::Decode<()> + Greet,
     {
-        let mut tried = self.known();
-        let mut dials: FuturesUnordered<_> =
-            tried.iter().map(|addr| self.dial(*addr, path, hello)).collect();
+        let mut dials = FuturesUnordered::new();
         let mut heard = BTreeMap::new();
-        while let Some((addr, dialled)) = dials.next().await {
+        let mut asked = Vec::new();
+        let mut named = None;
+        loop {
+            // Somebody else may be long in answering, or never answer.
+            for addr in self.known().into_iter().chain(named.take()) {
+                if !asked.contains(&addr) {
+                    asked.push(addr);
+                    dials.push(self.dial(addr, path, hello));
+                }
+            }
+            let Some((addr, dialled)) = dials.next().await else { break };
             heard.insert(addr, dialled.to_string());
             match dialled {
                 Dialled::Leads(found) => {
                     self.complaint.take();
                     return Some(*found);
                 }
-                Dialled::Follows(Some(leader), _) => {
-                    let Ok(addr) = leader.parse() else { continue };
-                    if !tried.contains(&addr) {
-                        tried.push(addr);
-                        dials.push(self.dial(addr, path, hello));
-                    }
-                }
-                Dialled::Follows(None, _) | Dialled::Failed => {}
+                Dialled::Follows(leader, _) => named = leader.and_then(|addr| addr.parse().ok()),
+                Dialled::Failed => {}
             }
         }
         self.complain(&heard);
--- a/tests/testsuite/discovery.rs
+++ b/tests/testsuite/discovery.rs
@@ -8,9 +8,12 @@
 use hemlockcleat::control;
 use hemlockcleat::control::guide;
 use hemlockcleat::gate;
+use hemlockcleat::net::leader;
 use hemlockcleat::net::seeds;
 use hemlockcleat::net::stream;
 use hemlockcleat::settings;
+use hemlockcleat::wire::codec;
+use hemlockcleat::wire::gate as wire;
 
 use crate::replica_support;
 use crate::support;
@@ -161,6 +164,30 @@
     });
 }
 
+/// Somebody without a leader names the replicas while another seed does not answer.
+#[test]
+fn named_replicas_are_asked_in_the_same_search() {
+    support::run(async {
+        let cell = Cell::start(&[]).await;
+        replica_support::until("a leader", || cell.is_led()).await;
+        let members: Vec<_> = cell.settings.iter().map(|one| one.listen.to_string()).collect();
+        let link = gate::Link::start(Vec::new(), 0);
+        link.learn(reserved(), &members);
+        link.stop().await;
+        let addr = reserved();
+        let handler = rc::Rc::new(guide::Guide::new(0, link));
+        let server = stream::Server::bind(addr, 64, handler).await.expect("a port");
+        let silent = silent().await;
+        let finder = leader::Finder::new(vec![silent.addr, addr]);
+        let hello = wire::Up::Hello { version: codec::VERSION, cell: 0 };
+        let found = finder.find::<wire::Up, wire::Down>("/gate", &hello).await;
+        assert!(found.is_some(), "the search has ended without the leader");
+        drop(found);
+        server.stop().await;
+        cell.stop().await;
+    });
+}
+
 /// A seed that does not answer holds up what the others are told.
 #[test]
 fn seed_is_told_beside_a_silent_one() {
