Count anew for a waiting step whose rank changes

The counts behind E221 subtract what had been placed of a step's rank when it began to wait. An urgent job changes its rank when its account's guarantee comes free, so that the figures of two ranks were subtracted: a panic where overflow is checked (tests, debug builds), a wrong figure in the line elsewhere.

A step whose rank changes is counted from that moment on; since when it waits is kept. Test dispatch_order::step_whose_rank_changes_is_counted_anew: 'attempt to subtract with overflow' before, green now.

--- a/src/core/dispatch/wait.rs
+++ b/src/core/dispatch/wait.rs
@@ -19,7 +19,9 @@
     since: time::Tick,
     /// After how long it is told of next.
     tell: time::Millis,
-    /// How many tasks of its rank and of all ranks had been placed when it began to wait.
+    /// Its rank, which may change while it waits.
+    rank: u32,
+    /// How many tasks of its rank and of all ranks had been placed when it began to wait in it.
     placed: (u64, u64),
 }
 
@@ -36,8 +38,11 @@
     pub fn keep(&mut self, waiting: &[queue::Waiting], now: time::Tick) {
         let mut steps = BTreeMap::new();
         for step in waiting {
-            let fresh = || Wait { since: now, tell: TELL_AFTER, placed: self.counts(step.rank) };
-            let wait = self.steps.get(&step.first).copied().unwrap_or_else(fresh);
+            let known = self.steps.get(&step.first).copied();
+            let (since, tell) = known.map_or((now, TELL_AFTER), |wait| (wait.since, wait.tell));
+            let rank = step.rank;
+            let fresh = || Wait { since, tell, rank, placed: self.counts(rank) };
+            let wait = known.filter(|wait| wait.rank == rank).unwrap_or_else(fresh);
             steps.insert(step.first, wait);
         }
         self.steps = steps;
--- a/tests/testsuite/dispatch_order.rs
+++ b/tests/testsuite/dispatch_order.rs
@@ -1,5 +1,9 @@
 //! Which steps of one rank go first, replayed without sockets.
 
+use hemlockcleat::core::dispatch::queue;
+use hemlockcleat::core::dispatch::wait;
+use hemlockcleat::core::ids;
+use hemlockcleat::core::time;
 use hemlockcleat::core::workflow::model;
 
 use crate::support::flow;
@@ -60,3 +64,25 @@
     let started: Vec<_> = world.take_starts().into_iter().map(|(_, task, _)| task.id).collect();
     assert_eq!(started, ["short"; 6]);
 }
+
+/// An urgent job comes within its account's guarantee while it waits: what was placed of the rank
+/// that it had is not what was placed of the one that it has.
+#[test]
+fn step_whose_rank_changes_is_counted_anew() {
+    let first = model::TaskKey { job: ids::JobKey(1), occurrence: 0, step: 0, index: 0 };
+    let waiting = |rank| queue::Waiting {
+        rank,
+        yields: None,
+        due: 0,
+        prospect: queue::Prospect::InTime,
+        first,
+    };
+    let mut waits = wait::Waits::default();
+    waits.placed(queue::URGENT, 5);
+    waits.keep(&[waiting(queue::URGENT)], time::Tick(0));
+    waits.keep(&[waiting(queue::GUARANTEED)], time::Tick(1000));
+    waits.placed(queue::GUARANTEED, 2);
+    waits.placed(queue::URGENT, 1);
+    let told = waits.tell(&waiting(queue::GUARANTEED), 1, time::Tick(6000)).expect("it is time");
+    assert_eq!((told.own, told.others, told.waited), (2, 1, time::Millis(6000)));
+}
