--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -14,6 +14,7 @@
 use crate::control::machine;
 use crate::control::replica::Options;
 use crate::control::replica::calls;
+use crate::control::replica::candidates;
 use crate::control::replica::peer;
 use crate::control::replica::place;
 use crate::control::replica::writer;
@@ -37,12 +38,6 @@
 /// Bytes that count for each entry besides its command.
 const ENTRY_OVERHEAD: u64 = 64;
 
-/// How long a replica counts as waiting after it has said so; it says so every second.
-const CANDIDATE_LIFE: Millis = Millis(4000);
-
-/// The most replicas that may wait to be admitted.
-const MAX_CANDIDATES: usize = 64;
-
 /// How much was applied since the last snapshot.
 struct Applied {
     index: ids::LogIndex,
@@ -68,8 +63,7 @@
     /// Streams that peers have opened, for answers to them.
     routes: cell::RefCell<BTreeMap<entry::Identity, peer::Route>>,
     writer: cell::RefCell<Option<writer::Writer>>,
-    /// Replicas that wait to be admitted: their addresses, and when they last said so.
-    candidates: cell::RefCell<BTreeMap<ids::ReplicaKey, (String, Tick)>>,
+    candidates: cell::RefCell<candidates::Candidates>,
     disk: sync::Arc<dyn disk::Disk>,
     started: Millis,
     wake: tokio::sync::Notify,
@@ -191,25 +185,13 @@
             term: core.hard().term,
             committed: core.committed(),
             peers: core.membership().members.iter().map(view).collect(),
-            candidates: self.candidates(),
+            candidates: self.candidates.borrow_mut().present(self.now()),
         }
     }
 
     /// Takes note of a replica that waits to be admitted.
     pub(super) fn add_candidate(&self, replica: ids::ReplicaKey, addr: String) {
-        let now = self.now();
-        let candidates = &mut *self.candidates.borrow_mut();
-        if candidates.len() < MAX_CANDIDATES || candidates.contains_key(&replica) {
-            candidates.insert(replica, (addr, now));
-        }
-    }
-
-    /// The replicas that wait to be admitted and have said so lately.
-    fn candidates(&self) -> Vec<(ids::ReplicaKey, String)> {
-        let now = self.now();
-        let candidates = &mut *self.candidates.borrow_mut();
-        candidates.retain(|_, (_, said)| *said + CANDIDATE_LIFE > now);
-        candidates.iter().map(|(replica, (addr, _))| (*replica, addr.clone())).collect()
+        self.candidates.borrow_mut().add(replica, addr, self.now());
     }
 
     /// How many members vote.
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -24,6 +24,7 @@
 
 mod announcing;
 mod calls;
+mod candidates;
 mod driver;
 mod founding;
 mod joining;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod dispatch;
 mod dispatch_order;
 mod dispatch_policy;
+mod dispatch_speed;
 mod entry;
 mod entry_contract;
 mod entry_faults;
