Compute what is left of a job once a pass, and say plainly what decides a turn

Read once more. queue::waiting worked out the part of a job that waits for each of its waiting steps, at every pass; it is now done once an occurrence, and only where it is asked for. fit::sites asked for a worker's speed twice. Waiting.yields was an optional prospect that could never be InTime; turn is the prospect by which the step is ordered. No order changes: none, late, spent sorted as in time, late, spent do. The tests of dispatch pass unchanged but for the field's name.

--- a/src/core/dispatch/fit.rs
+++ b/src/core/dispatch/fit.rs
@@ -109,6 +109,7 @@
             continue;
         }
         let kept = kept.get(host).copied().unwrap_or_default();
+        let speed = health.speed(*host);
         sites.push(Site {
             host: *host,
             life: said.life,
@@ -116,8 +117,8 @@
             free: worker.free().minus(kept),
             capacity: said.capacity,
             spread: if ask.step.spread == 0 { u32::MAX } else { ask.step.spread },
-            slow: health.speed(*host) < slow,
-            speed: (health.speed(*host) * 100.0) as u32,
+            slow: speed < slow,
+            speed: (speed * 100.0) as u32,
             doubted: health.is_doubted(*host),
         });
     }
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -12,6 +12,7 @@
 //! use only once it is complete, so what has begun is ended before more is begun beside it, and a job
 //! that is late by its estimate keeps its turn if only a rest of it waits.
 
+use std::cell;
 use std::collections::BTreeMap;
 
 use crate::core::dispatch::order;
@@ -56,8 +57,9 @@
 pub struct Waiting {
     /// The rank of its job; lower goes first.
     pub rank: u32,
-    /// Why it lets others of its rank pass, if it does: late with more than a rest, or past any use.
-    pub yields: Option<Prospect>,
+    /// The prospect that decides its turn: a job that is late, but of which only a rest waits, lets
+    /// no others of its rank pass.
+    pub turn: Prospect,
     /// When the job is due, in civil time: the end of its objective, sooner if a part is placed.
     pub due: u64,
     /// What it can still achieve.
@@ -77,6 +79,7 @@
             if due > now.wall.0 {
                 continue;
             }
+            let left = cell::LazyCell::new(|| left(job, occurrence));
             for (step, tasks) in occurrence.steps.iter().enumerate() {
                 let waits = tasks.iter().any(|task| task.place == job::Place::Waiting);
                 if !waits || !job.is_ready(occurrence, step as u32) {
@@ -88,11 +91,11 @@
                 let first =
                     model::TaskKey { job: key, occurrence: *number, step: step as u32, index: 0 };
                 let prospect = prospect(rank, now.wall.0, (since, span.0), rest);
-                let left = if rank == GUARANTEED { 100 } else { left(job, occurrence) };
+                let left = if rank == GUARANTEED { 100 } else { *left };
                 let is_rest = prospect == Prospect::Late && left <= REST;
                 found.push(Waiting {
                     rank,
-                    yields: Some(prospect).filter(|it| *it > Prospect::InTime && !is_rest),
+                    turn: if is_rest { Prospect::InTime } else { prospect },
                     due: since + span.0 * left / 100,
                     prospect,
                     first,
--- a/src/core/dispatch/relieve.rs
+++ b/src/core/dispatch/relieve.rs
@@ -84,7 +84,7 @@
         let first = model::TaskKey { index: 0, ..key.task };
         let rank = queue::plain_rank(job);
         let prospect = queue::Prospect::InTime;
-        let waiting = queue::Waiting { rank, yields: None, due: 0, prospect, first };
+        let waiting = queue::Waiting { rank, turn: prospect, due: 0, prospect, first };
         let ask = self.ask(book, job, &waiting, now);
         let need = Room::of(ask.step);
         self.sites(ask, &waiting, now).iter().any(|site| site.free.holds(need))
--- a/tests/testsuite/dispatch_order.rs
+++ b/tests/testsuite/dispatch_order.rs
@@ -72,7 +72,7 @@
     let first = model::TaskKey { job: ids::JobKey(1), occurrence: 0, step: 0, index: 0 };
     let waiting = |rank| queue::Waiting {
         rank,
-        yields: None,
+        turn: queue::Prospect::InTime,
         due: 0,
         prospect: queue::Prospect::InTime,
         first,
