--- a/src/control/dispatch_loop.rs
+++ b/src/control/dispatch_loop.rs
@@ -98,6 +98,15 @@
         order::Effect::Passed(passed) => {
             event::control::STEP_PASSED.log(format_args!("{passed}"));
         }
+        order::Effect::Over(life, why, runs) => {
+            event::control::LIFE_OVER.log(format_args!("worker={life} runs={runs} why={why}"));
+        }
+        order::Effect::Stranger(stranger) => {
+            if stranger.is_double() {
+                metrics::counter!(names::RUNS_DOUBLED).increment(1);
+            }
+            event::control::STRANGER.log(format_args!("{stranger}"));
+        }
         order::Effect::Order(host, order) => {
             let runners = proposer.shared.runners.borrow();
             let Some((_, sender)) = runners.get(&host) else { return };
--- a/src/core/dispatch/fleet.rs
+++ b/src/core/dispatch/fleet.rs
@@ -1,6 +1,7 @@
 //! Workers, the leases their agents hold, and what occupies them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::core::dispatch::order;
 use crate::core::dispatch::order::Room;
@@ -37,7 +38,7 @@
     /// What its runs occupy, by run.
     pub taken: BTreeMap<model::RunKey, Room>,
     /// Runs it reports that nobody placed there.
-    pub strangers: usize,
+    pub strangers: BTreeSet<(model::TaskName, u32)>,
     /// The highest end that was listed.
     pub listed: u64,
     /// Ends that are on their way into the log, by number.
@@ -58,7 +59,7 @@
             stays: None,
             blocked: time::Tick(0),
             taken: BTreeMap::new(),
-            strangers: 0,
+            strangers: BTreeSet::new(),
             listed: 0,
             ending: BTreeMap::new(),
             seen: 0,
@@ -82,7 +83,7 @@
         self.connected
             && self.current
             && !draining
-            && self.strangers == 0
+            && self.strangers.is_empty()
             && self.until > now
             && self.blocked <= now
     }
--- a/src/core/dispatch/lead.rs
+++ b/src/core/dispatch/lead.rs
@@ -152,6 +152,8 @@
         run.state = runs::State::Ordered;
         let present = self.workers.get(&life.host).and_then(|worker| worker.life);
         if present != Some(life) {
+            let why = present.map_or(order::Over::Lease, order::Over::Followed);
+            self.effects.push(order::Effect::Over(life, why, 1));
             self.end_lost(vec![key]);
             return;
         }
@@ -233,7 +235,7 @@
                 let fresh = fleet::Worker::inherited(None, worker.until);
                 *worker = fleet::Worker { connected: worker.connected, ..fresh };
             }
-            self.lose(life);
+            self.lose(life, order::Over::Lease);
         }
         self.claims.retain(|_, claim| claim.until > now.tick);
         self.relieve(book, now);
@@ -241,12 +243,13 @@
     }
 
     /// Everything of a life has certainly ended.
-    pub(super) fn lose(&mut self, life: model::Life) {
+    pub(super) fn lose(&mut self, life: model::Life, why: order::Over) {
         let lost = self.runs.iter().filter(|(_, run)| {
             let open = run.is_held() && run.state != runs::State::Proposed;
             run.life == life && open
         });
-        let lost = lost.map(|(key, _)| *key).collect();
+        let lost: Vec<_> = lost.map(|(key, _)| *key).collect();
+        self.effects.push(order::Effect::Over(life, why, lost.len()));
         self.end_lost(lost);
     }
 
--- a/src/core/dispatch/order.rs
+++ b/src/core/dispatch/order.rs
@@ -4,6 +4,7 @@
 use crate::core::ids;
 use crate::core::time;
 use crate::core::workflow::command;
+use crate::core::workflow::job;
 use crate::core::workflow::model;
 use crate::macros;
 
@@ -120,6 +121,18 @@
         pub saved: String,
     }
 
+    /// A run that a worker lists and that was not placed there.
+    pub struct Stranger {
+        /// The life that lists it.
+        pub life: model::Life,
+        /// The task.
+        pub task: model::TaskName,
+        /// The number of its start.
+        pub run: u32,
+        /// The task's last run in the book, and where it stands; none if no such task is open.
+        pub held: Option<(u32, job::Place)>,
+    }
+
     /// What the leader is to carry out.
     pub enum Effect {
         /// Propose a command to the log.
@@ -132,6 +145,10 @@
         Waited(u32, time::Millis),
         /// Log that a step was passed over for long.
         Passed(Passed),
+        /// Log that a life of a worker is over, why, and how many runs are lost with it.
+        Over(model::Life, Over, usize),
+        /// Log that a worker runs what was not placed there.
+        Stranger(Stranger),
     }
 }
 
@@ -161,6 +178,16 @@
         Leaving,
     }
 
+    /// Why a life of a worker is taken for over.
+    pub enum Over {
+        /// Its lease has run out.
+        Lease,
+        /// This later life runs on its host.
+        Followed(model::Life),
+        /// It has left.
+        Left,
+    }
+
     /// A step that has waited for long.
     pub struct Passed {
         /// Its job.
@@ -205,6 +232,35 @@
     }
 }
 
+impl Stranger {
+    /// Whether another run of its task may be going on.
+    pub fn is_double(&self) -> bool {
+        matches!(self.held, Some((run, job::Place::At(_))) if run != self.run)
+    }
+}
+
+impl std::fmt::Display for Stranger {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { life, task, run, held } = self;
+        write!(f, "task={task} run={run} worker={life} double={} held=", self.is_double())?;
+        match held {
+            Some((run, job::Place::At(life))) => write!(f, "{run} at={life}"),
+            Some((run, place)) => write!(f, "{run} place={place:?}"),
+            None => f.write_str("none"),
+        }
+    }
+}
+
+impl std::fmt::Display for Over {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Lease => f.write_str("lease"),
+            Self::Followed(life) => write!(f, "followed by={life}"),
+            Self::Left => f.write_str("left"),
+        }
+    }
+}
+
 impl std::fmt::Display for Passed {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let Self { job, occurrence, step, rank, prospect, tasks, waited, own, others } = self;
--- a/src/core/dispatch/report.rs
+++ b/src/core/dispatch/report.rs
@@ -28,7 +28,7 @@
         worker.current = report.current;
         if let Some(gone) = report.gone.filter(|gone| worker.life == Some(*gone)) {
             worker.life = None;
-            self.lose(gone);
+            self.lose(gone, order::Over::Left);
         }
         let Some(worker) = self.workers.get_mut(&host) else { return };
         let Some(said) = report.worker else {
@@ -42,7 +42,7 @@
             let before = worker.life;
             worker.reborn(&said);
             if let Some(life) = before {
-                self.lose(life);
+                self.lose(life, order::Over::Followed(said.life));
             }
         }
         let Some(worker) = self.workers.get_mut(&host) else { return };
@@ -72,14 +72,16 @@
         listed: &mut BTreeSet<model::RunKey>,
         now: Moment,
     ) {
-        let mut strangers = 0;
+        let mut strangers = BTreeSet::new();
         for entry in running {
             let task = book.find_task(&entry.task);
             let key = task.map(|task| model::RunKey { task, run: entry.run });
             let known = key.and_then(|key| Some((key, self.runs.get_mut(&key)?)));
             let Some((key, run)) = known.filter(|(_, run)| run.life == life) else {
-                strangers += 1;
-                let order = order::Order::Stop { life, task: entry.task, run: entry.run };
+                let (task, run) = (entry.task, entry.run);
+                self.tell_stranger(book, host, life, (&task, run));
+                strangers.insert((task.clone(), run));
+                let order = order::Order::Stop { life, task, run };
                 self.effects.push(order::Effect::Order(host, order));
                 continue;
             };
@@ -99,6 +101,25 @@
         }
     }
 
+    /// Tells, the first time, of a run that a worker lists and that was not placed there.
+    fn tell_stranger(
+        &mut self,
+        book: &book::Book,
+        host: u32,
+        life: model::Life,
+        (task, run): (&model::TaskName, u32),
+    ) {
+        let known = (task.clone(), run);
+        if self.workers.get(&host).is_some_and(|worker| worker.strangers.contains(&known)) {
+            return;
+        }
+        let key = book.find_task(task);
+        let held = key.and_then(|key| book.jobs.get(&key.job)?.task(key));
+        let held = held.map(|held| (held.run, held.place));
+        let stranger = order::Stranger { life, task: known.0, run, held };
+        self.effects.push(order::Effect::Stranger(stranger));
+    }
+
     /// Learns the speed of workers from a run, or from a whole gang, once it has shown enough
     /// progress.
     fn learn(&mut self, book: &book::Book, key: model::RunKey) {
--- a/src/runner/agent.rs
+++ b/src/runner/agent.rs
@@ -439,6 +439,15 @@
         };
         let running = names(&listing);
         let before = worker.listing.as_ref().map(|(held, _)| names(held));
+        if before.is_none() {
+            event::agent::WORKER_ANSWERS.log(format_args!(
+                "life={} clock={} running={} ended={}",
+                worker.said.life,
+                listing.clock,
+                listing.running.len(),
+                listing.finished.len()
+            ));
+        }
         let news = before.as_ref() != Some(&running) || !listing.finished.is_empty();
         let mut listed = running;
         listed.extend(listing.finished.iter().map(|entry| (entry.task.clone(), entry.run)));
--- a/src/runner/launch.rs
+++ b/src/runner/launch.rs
@@ -41,7 +41,17 @@
         }
         let tried = tokio::time::timeout(ORDER_TIMEOUT, backend.start(launch.clone())).await;
         match tried {
-            Ok(Ok(backend::Launched::Running)) => return Outcome::Running,
+            Ok(Ok(backend::Launched::Running)) => {
+                if doubt {
+                    event::agent::START_CONFIRMED.log(format_args!(
+                        "task={} run={} tries={}",
+                        launch.task,
+                        launch.run,
+                        attempt + 1
+                    ));
+                }
+                return Outcome::Running;
+            }
             Ok(Ok(backend::Launched::Refused(reason))) => return Outcome::Failed(doubt, reason),
             Ok(Ok(backend::Launched::Unwell)) => detail = "unwell".to_owned(),
             Ok(Err(error)) => {
--- a/src/telemetry/event/agent.rs
+++ b/src/telemetry/event/agent.rs
@@ -23,6 +23,8 @@
     TASK_STOP,
     TASK_REFUSED,
     STOP_UNANSWERED,
+    WORKER_ANSWERS,
+    START_CONFIRMED,
 ];
 
 /// A session with the leading control replica stands.
@@ -63,3 +65,7 @@
 pub const TASK_REFUSED: Event = Event::new(517, log::Level::Warn, "task refused");
 /// A worker did not take an order to stop a run, which is repeated.
 pub const STOP_UNANSWERED: Event = Event::new(518, log::Level::Warn, "stop not answered");
+/// The worker has answered as the life that it announced, for the first time.
+pub const WORKER_ANSWERS: Event = Event::new(519, log::Level::Info, "worker answers");
+/// A start without an answer was confirmed by a later try.
+pub const START_CONFIRMED: Event = Event::new(520, log::Level::Info, "start confirmed late");
--- a/src/telemetry/event/control.rs
+++ b/src/telemetry/event/control.rs
@@ -26,6 +26,8 @@
     RUN_STOPPING,
     JOB_REFUSED,
     STEP_PASSED,
+    LIFE_OVER,
+    STRANGER,
 ];
 
 /// A committed entry can't be decoded; it was written by another version.
@@ -72,3 +74,7 @@
 pub const JOB_REFUSED: Event = Event::new(220, log::Level::Info, "job refused");
 /// A step has waited for long while others were served.
 pub const STEP_PASSED: Event = Event::new(221, log::Level::Info, "step passed over");
+/// A life of a worker of workflows is over, and its runs are lost.
+pub const LIFE_OVER: Event = Event::new(222, log::Level::Info, "life of a worker over");
+/// A worker lists a run that was not placed there; it is stopped.
+pub const STRANGER: Event = Event::new(223, log::Level::Warn, "run not placed there");
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -54,6 +54,8 @@
 pub const RUNS_ENDED: &str = "hemlockcleat_runs_ended_total";
 /// Runs of tasks that were ordered to stop, by `why`.
 pub const RUNS_STOPPED: &str = "hemlockcleat_runs_stopped_total";
+/// Runs that a worker listed while another run of their task was placed.
+pub const RUNS_DOUBLED: &str = "hemlockcleat_runs_doubled_total";
 /// Time from a workflow's acceptance to the first placement of each of its tasks.
 pub const PLACE_SECONDS: &str = "hemlockcleat_task_wait_seconds";
 
@@ -94,6 +96,7 @@
     metric(JOBS_ENDED, Kind::Counter, "Workflows that ended, by phase"),
     metric(RUNS_ENDED, Kind::Counter, "Runs of tasks that ended, by how"),
     metric(RUNS_STOPPED, Kind::Counter, "Runs of tasks ordered to stop, by why"),
+    metric(RUNS_DOUBLED, Kind::Counter, "Runs listed while another run of their task was placed"),
     metric(PLACE_SECONDS, Kind::Histogram, "From acceptance to a task's first placement"),
     metric(STEP_SECONDS, Kind::Histogram, "Wait of a step for places, by rank"),
     metric(REQUESTS, Kind::Counter, "Requests answered, by outcome"),
--- a/tests/testsuite/support/flow.rs
+++ b/tests/testsuite/support/flow.rs
@@ -224,7 +224,9 @@
             order::Effect::Order(..)
             | order::Effect::Stopping(..)
             | order::Effect::Waited(..)
-            | order::Effect::Passed(..) => None,
+            | order::Effect::Passed(..)
+            | order::Effect::Over(..)
+            | order::Effect::Stranger(..) => None,
         });
         proposed.collect()
     }
@@ -244,7 +246,9 @@
                     order::Effect::Order(host, order) => self.orders.push((host, order)),
                     order::Effect::Stopping(..)
                     | order::Effect::Waited(..)
-                    | order::Effect::Passed(..) => {}
+                    | order::Effect::Passed(..)
+                    | order::Effect::Over(..)
+                    | order::Effect::Stranger(..) => {}
                 }
             }
         }
