Take a worker's life for over only when that is proven

Cause: the agent took a later life's announcement, and a worker's word that it leaves, for the end of everything that ran there, and control placed it anew within milliseconds. But an announcement may come from another writer or be late, and a worker that says it leaves may run on. Worse, an announced life that nobody answers for kept the real worker out for good.

Now an announced life is asked for its lists, and is the present one only when it answers as itself; until then the life before stays. A worker that has left is gone when nobody listens at its address any more, or another process answers there; otherwise its lease runs out.

--- a/src/runner/agent.rs
+++ b/src/runner/agent.rs
@@ -22,6 +22,7 @@
 use crate::runner::backend::Backend;
 use crate::runner::hold;
 use crate::runner::launch;
+use crate::runner::meet;
 use crate::telemetry::event;
 use crate::wire::codec;
 use crate::wire::runner as wire;
@@ -47,6 +48,9 @@
 /// The pause between two searches for a leader.
 const SEEK_PAUSE: time::Duration = time::Duration::from_millis(100);
 
+/// The most lives that are asked at once whether they are there.
+const MEETINGS: usize = 4;
+
 /// How the loop's timer runs when nothing else happens.
 const TICK: time::Duration = time::Duration::from_millis(250);
 
@@ -103,7 +107,9 @@
 /// What a call to the worker has come to.
 enum Done {
     /// A look: when it was sent, and its answer.
-    Look(model::Life, core_time::Tick, Result<backend::Listing, backend::Unanswered>),
+    Look(model::Life, core_time::Tick, Result<backend::Listing, backend::Unlisted>),
+    /// A life that was announced was asked whether it is there.
+    Met(Announced, Option<meet::Met>),
     /// An order to start.
     Start(model::Life, RunName, launch::Outcome),
     /// An order to stop that was answered.
@@ -114,10 +120,20 @@
     Pause,
 }
 
+/// A life that was announced and has not answered yet.
+struct Announced {
+    said: order::Announced,
+    stays: Option<core_time::Tick>,
+    backend: rc::Rc<dyn Backend>,
+}
+
 type Session = leader::Found<wire::Up, wire::Down>;
 
+/// The worker in the life that has answered last.
 struct Worker {
     said: order::Announced,
+    /// Whether it has said that it leaves for good; its process may still be there.
+    left: bool,
     /// Until when it stays at least, where it says so.
     stays: Option<core_time::Tick>,
     backend: rc::Rc<dyn Backend>,
@@ -142,6 +158,11 @@
     fence: rc::Rc<cell::Cell<u64>>,
     session: Option<Session>,
     worker: Option<Worker>,
+    /// Lives that are being asked whether they are there.
+    meeting: BTreeSet<model::Life>,
+    /// The last life that was announced and did not answer: a new agent can't call a worker that
+    /// knows the fence of a term before the leader has named it.
+    unmet: Option<Announced>,
     /// The last life that has left for good.
     gone: Option<model::Life>,
     calls: FuturesUnordered<LocalBoxFuture<'static, Done>>,
@@ -163,6 +184,8 @@
             fence: rc::Rc::default(),
             session: None,
             worker: None,
+            meeting: BTreeSet::new(),
+            unmet: None,
             gone: None,
             calls: FuturesUnordered::new(),
             looks: 0,
@@ -202,44 +225,88 @@
             // A message of an earlier life that was late.
             return;
         }
+        let present = self.worker.as_mut().filter(|worker| worker.said.life == beat.life);
         let Some(said) = beat.said else {
-            event::agent::WORKER_LEFT.log(format_args!("life={}", beat.life));
-            self.gone = Some(beat.life);
-            self.worker = None;
-            self.hold.reborn();
-            self.report();
+            if let Some(worker) = present {
+                worker.said.draining = true;
+                worker.left = true;
+                self.report();
+                self.look(0);
+            }
             return;
         };
         if self.gone == Some(beat.life) {
             return;
         }
         let stays = beat.stays.map(|stays| self.clock.tick() + stays);
-        match &mut self.worker {
-            Some(worker) if worker.said.life == said.life => {
+        match present {
+            Some(worker) => {
                 let news = worker.said != said;
                 worker.said = said;
+                worker.said.draining |= worker.left;
                 worker.stays = stays;
                 if news {
                     self.report();
                 }
             }
-            _ => {
-                event::agent::WORKER_SEEN
-                    .log(format_args!("name={} life={}", said.name, said.life));
-                self.hold.reborn();
-                self.worker = Some(Worker {
-                    said,
-                    stays,
-                    backend: beat.backend,
-                    seen: 0,
-                    listing: None,
-                    closing: BTreeMap::new(),
-                    busy: BTreeSet::new(),
-                    alive: rc::Rc::new(()),
-                });
-                self.look(0);
-            }
+            None => self.meet(Announced { said, stays, backend: beat.backend }),
+        }
+    }
+
+    /// Asks a life that was announced whether it is there.
+    fn meet(&mut self, announced: Announced) {
+        let life = announced.said.life;
+        if self.meeting.len() >= MEETINGS || !self.meeting.insert(life) {
+            return;
+        }
+        event::agent::WORKER_SEEN.log(format_args!("name={} life={life}", announced.said.name));
+        let fence = self.fence.clone();
+        let asked = meet::meet(announced.backend.clone(), life, move || fence.get(), self.clock);
+        self.calls.push(Box::pin(async move { Done::Met(announced, asked.await) }));
+    }
+
+    /// Takes over a life that has answered; whatever was before it is over.
+    fn met(&mut self, announced: Announced, met: Option<meet::Met>) {
+        let life = announced.said.life;
+        self.meeting.remove(&life);
+        let Some(met) = met else {
+            self.unmet = Some(announced);
+            return;
+        };
+        let known = self.worker.as_ref().map(|worker| worker.said.life);
+        if self.gone.max(known).is_some_and(|latest| latest >= life) {
+            return;
         }
+        event::agent::WORKER_ANSWERS.log(format_args!(
+            "life={life} clock={} running={} ended={}",
+            met.listing.clock,
+            met.listing.running.len(),
+            met.listing.finished.len()
+        ));
+        self.hold.reborn();
+        self.hold.clock(met.listing.clock, self.clock.tick());
+        self.worker = Some(Worker {
+            said: announced.said,
+            left: false,
+            stays: announced.stays,
+            backend: announced.backend,
+            seen: 0,
+            listing: Some((met.listing, met.sent)),
+            closing: BTreeMap::new(),
+            busy: BTreeSet::new(),
+            alive: rc::Rc::new(()),
+        });
+        self.report();
+        self.look(0);
+    }
+
+    /// The worker is gone for good.
+    fn part(&mut self, life: model::Life) {
+        event::agent::WORKER_LEFT.log(format_args!("life={life}"));
+        self.gone = Some(life);
+        self.worker = None;
+        self.hold.reborn();
+        self.report();
     }
 
     fn opened(&mut self, found: Option<Session>) {
@@ -250,6 +317,9 @@
         self.session = Some(found);
         self.asked = None;
         self.look(0);
+        if let Some(announced) = self.unmet.take() {
+            self.meet(announced);
+        }
     }
 
     fn closed(&mut self, why: &str) {
@@ -333,6 +403,7 @@
     fn done(&mut self, done: Done) {
         match done {
             Done::Look(life, sent, answer) => self.looked(life, sent, answer),
+            Done::Met(announced, met) => self.met(announced, met),
             Done::Start(life, name, outcome) => self.started(life, name, outcome),
             Done::Stop(life, name) => {
                 let now = self.clock.tick();
@@ -383,7 +454,7 @@
         let answer = tokio::time::timeout(limit, worker.backend.look(look));
         self.looks += 1;
         self.calls.push(Box::pin(async move {
-            let silent = |_| Err(backend::Unanswered("no answer".to_owned()));
+            let silent = |_| Err(backend::Unlisted::Unanswered("no answer".to_owned()));
             Done::Look(life, sent, answer.await.unwrap_or_else(silent))
         }));
     }
@@ -392,7 +463,7 @@
         &mut self,
         life: model::Life,
         sent: core_time::Tick,
-        answer: Result<backend::Listing, backend::Unanswered>,
+        answer: Result<backend::Listing, backend::Unlisted>,
     ) {
         let now = self.clock.tick();
         let mut failed = true;
@@ -410,8 +481,10 @@
                         self.take_listing(listing, sent);
                     }
                 }
+                // Its word alone does not prove that it is gone, nor does this alone.
+                Err(backend::Unlisted::Nobody(_)) if worker.left => self.part(life),
                 Err(error) => {
-                    event::agent::WORKER_SILENT.log(format_args!("life={life} error={}", error.0));
+                    event::agent::WORKER_SILENT.log(format_args!("life={life} error={error}"));
                 }
             }
         }
@@ -439,15 +512,6 @@
         };
         let running = names(&listing);
         let before = worker.listing.as_ref().map(|(held, _)| names(held));
-        if before.is_none() {
-            event::agent::WORKER_ANSWERS.log(format_args!(
-                "life={} clock={} running={} ended={}",
-                worker.said.life,
-                listing.clock,
-                listing.running.len(),
-                listing.finished.len()
-            ));
-        }
         let news = before.as_ref() != Some(&running) || !listing.finished.is_empty();
         let mut listed = running;
         listed.extend(listing.finished.iter().map(|entry| (entry.task.clone(), entry.run)));
--- a/src/runner/backend.rs
+++ b/src/runner/backend.rs
@@ -1,5 +1,7 @@
 //! The worker beside an agent, as the agent sees it.
 
+use std::fmt;
+
 use futures_util::future::LocalBoxFuture;
 
 use crate::core::dispatch::order;
@@ -62,10 +64,34 @@
 #[derive(Clone, Debug)]
 pub struct Unanswered(pub String);
 
+/// Why a look has brought no listing.
+#[derive(Clone, Debug)]
+pub enum Unlisted {
+    /// There was no answer, or one that says nothing of the life.
+    Unanswered(String),
+    /// No process of that name takes calls at its address.
+    Nobody(String),
+}
+
+impl From<Unlisted> for Unanswered {
+    fn from(unlisted: Unlisted) -> Self {
+        Self(unlisted.to_string())
+    }
+}
+
+impl fmt::Display for Unlisted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unanswered(error) => f.write_str(error),
+            Self::Nobody(error) => write!(f, "nobody there: {error}"),
+        }
+    }
+}
+
 /// Calls to one life of a worker.
 pub trait Backend {
     /// Asks after its runs.
-    fn look(&self, look: Look) -> LocalBoxFuture<'static, Result<Listing, Unanswered>>;
+    fn look(&self, look: Look) -> LocalBoxFuture<'static, Result<Listing, Unlisted>>;
 
     /// Orders the start of a run.
     fn start(&self, launch: Launch) -> LocalBoxFuture<'static, Result<Launched, Unanswered>>;
--- /dev/null
+++ b/src/runner/meet.rs
@@ -0,0 +1,63 @@
+//! Asking a life that was announced whether it is there.
+//!
+//! An announcement alone proves nothing: it may come from another writer, or be late. Only the
+//! worker itself can say which life it is in, and only once the next life has answered is the one
+//! before it certainly over.
+
+use std::rc;
+use std::time;
+
+use crate::control::clock;
+use crate::core::time as core_time;
+use crate::core::workflow::model;
+use crate::runner::backend;
+use crate::runner::backend::Backend;
+use crate::telemetry::event;
+
+/// How often a life is asked after one announcement; it is announced again soon.
+const TRIES: u32 = 3;
+
+/// How long it may take to answer: it is on the same host.
+const TIMEOUT: time::Duration = time::Duration::from_millis(400);
+
+/// The pause between two tries.
+const PAUSE: time::Duration = time::Duration::from_millis(60);
+
+/// The first answer of a life.
+#[derive(Debug)]
+pub struct Met {
+    /// Its lists.
+    pub listing: backend::Listing,
+    /// When they were asked for.
+    pub sent: core_time::Tick,
+}
+
+/// Asks after the runs of a life; none if it does not answer as itself.
+pub async fn meet(
+    backend: rc::Rc<dyn Backend>,
+    life: model::Life,
+    fence: impl Fn() -> u64,
+    clock: clock::Clock,
+) -> Option<Met> {
+    let mut last = String::new();
+    for attempt in 0..TRIES {
+        if attempt > 0 {
+            tokio::time::sleep(PAUSE).await;
+        }
+        let sent = clock.tick();
+        let look = backend::Look { fence: fence(), until: None, seen: 0, wait: 0 };
+        match tokio::time::timeout(TIMEOUT, backend.look(look)).await {
+            Ok(Ok(listing)) if listing.born.is_none_or(|born| born == life.born) => {
+                return Some(Met { listing, sent });
+            }
+            Ok(Ok(_)) => {
+                last = "another life answers".to_owned();
+                break;
+            }
+            Ok(Err(error)) => last = error.to_string(),
+            Err(_) => last = "no answer".to_owned(),
+        }
+    }
+    event::agent::WORKER_UNMET.log(format_args!("life={life} error={last}"));
+    None
+}
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`backend`]: the worker as the agent sees it, implemented by whoever speaks its protocol
 //! - [`hold`]: the lease and the worker's clock
+//! - [`meet`]: asking a life that was announced whether it is there
 //! - [`launch`]: starting and stopping runs, to a certain end
 //! - [`agent`]: the loop that ties these to the session with the leader
 
@@ -13,5 +14,6 @@
 pub mod backend;
 pub mod hold;
 pub mod launch;
+pub mod meet;
 
 pub use agent::Runner;
--- a/src/telemetry/event/agent.rs
+++ b/src/telemetry/event/agent.rs
@@ -25,6 +25,7 @@
     STOP_UNANSWERED,
     WORKER_ANSWERS,
     START_CONFIRMED,
+    WORKER_UNMET,
 ];
 
 /// A session with the leading control replica stands.
@@ -69,3 +70,5 @@
 pub const WORKER_ANSWERS: Event = Event::new(519, log::Level::Info, "worker answers");
 /// A start without an answer was confirmed by a later try.
 pub const START_CONFIRMED: Event = Event::new(520, log::Level::Info, "start confirmed late");
+/// A life that was announced does not answer as itself; it counts for nothing until it does.
+pub const WORKER_UNMET: Event = Event::new(521, log::Level::Warn, "announced worker not met");
--- a/tests/testsuite/runner.rs
+++ b/tests/testsuite/runner.rs
@@ -105,7 +105,7 @@
     fn look(
         &self,
         _: backend::Look,
-    ) -> future::LocalBoxFuture<'static, Result<backend::Listing, backend::Unanswered>> {
+    ) -> future::LocalBoxFuture<'static, Result<backend::Listing, backend::Unlisted>> {
         Box::pin(future::pending())
     }
 
--- a/tests/testsuite/support/worker.rs
+++ b/tests/testsuite/support/worker.rs
@@ -14,6 +14,7 @@
 use hemlockcleat::core::workflow::model;
 use hemlockcleat::runner::backend;
 use hemlockcleat::runner::backend::Unanswered;
+use hemlockcleat::runner::backend::Unlisted;
 
 /// How long a run goes on after it was ordered to stop.
 const STOP: time::Duration = time::Duration::from_millis(100);
@@ -198,10 +199,10 @@
         self.until.set(self.until.get().max(until));
     }
 
-    fn hold(&self, look: &backend::Look) -> Result<(), Unanswered> {
+    fn hold(&self, look: &backend::Look) -> Result<(), Unlisted> {
         self.advance();
         if self.is_fenced(look.fence) {
-            return Err(Unanswered("fence".to_owned()));
+            return Err(Unlisted::Unanswered("fence".to_owned()));
         }
         self.extend(look.until.unwrap_or(0));
         self.forget(look.seen);
@@ -337,12 +338,12 @@
     fn look(
         &self,
         look: backend::Look,
-    ) -> future::LocalBoxFuture<'static, Result<backend::Listing, Unanswered>> {
+    ) -> future::LocalBoxFuture<'static, Result<backend::Listing, Unlisted>> {
         let worker = self.0.clone();
         Box::pin(async move {
             if worker.keeps.get() {
                 worker.kept.borrow_mut().push(Kept::Look(look));
-                return Err(Unanswered("lost".to_owned()));
+                return Err(Unlisted::Unanswered("lost".to_owned()));
             }
             worker.hold(&look)?;
             let give_up = time::Instant::now() + time::Duration::from_millis(look.wait);
--- a/tests/testsuite/workflow_lives.rs
+++ b/tests/testsuite/workflow_lives.rs
@@ -32,8 +32,8 @@
     fn look(
         &self,
         _: backend::Look,
-    ) -> future::LocalBoxFuture<'static, Result<backend::Listing, backend::Unanswered>> {
-        Box::pin(future::ready(Err(backend::Unanswered("nobody".to_owned()))))
+    ) -> future::LocalBoxFuture<'static, Result<backend::Listing, backend::Unlisted>> {
+        Box::pin(future::ready(Err(backend::Unlisted::Unanswered("nobody".to_owned()))))
     }
 
     fn start(
