Keep the newest announcement of a life that is being asked

A worker that said that it drains while its first announcement was still being checked was taken over with the older word, and got tasks for another 1.5 s.

--- a/src/runner/agent.rs
+++ b/src/runner/agent.rs
@@ -109,7 +109,7 @@
     /// A look: when it was sent, and its answer.
     Look(model::Life, core_time::Tick, Result<backend::Listing, backend::Unlisted>),
     /// A life that was announced was asked whether it is there.
-    Met(Announced, Option<meet::Met>),
+    Met(model::Life, Option<meet::Met>),
     /// An order to start.
     Start(model::Life, RunName, launch::Outcome),
     /// An order to stop that was answered.
@@ -158,8 +158,8 @@
     fence: rc::Rc<cell::Cell<u64>>,
     session: Option<Session>,
     worker: Option<Worker>,
-    /// Lives that are being asked whether they are there.
-    meeting: BTreeSet<model::Life>,
+    /// Lives that are being asked whether they are there, with what was announced last.
+    meeting: BTreeMap<model::Life, Announced>,
     /// The last life that was announced and did not answer: a new agent can't call a worker that
     /// knows the fence of a term before the leader has named it.
     unmet: Option<Announced>,
@@ -184,7 +184,7 @@
             fence: rc::Rc::default(),
             session: None,
             worker: None,
-            meeting: BTreeSet::new(),
+            meeting: BTreeMap::new(),
             unmet: None,
             gone: None,
             calls: FuturesUnordered::new(),
@@ -227,6 +227,7 @@
         }
         let present = self.worker.as_mut().filter(|worker| worker.said.life == beat.life);
         let Some(said) = beat.said else {
+            self.meeting.remove(&beat.life);
             if let Some(worker) = present {
                 worker.said.draining = true;
                 worker.left = true;
@@ -256,19 +257,23 @@
     /// Asks a life that was announced whether it is there.
     fn meet(&mut self, announced: Announced) {
         let life = announced.said.life;
-        if self.meeting.len() >= MEETINGS || !self.meeting.insert(life) {
+        if let Some(known) = self.meeting.get_mut(&life) {
+            *known = announced;
+            return;
+        }
+        if self.meeting.len() >= MEETINGS {
             return;
         }
         event::agent::WORKER_SEEN.log(format_args!("name={} life={life}", announced.said.name));
         let fence = self.fence.clone();
         let asked = meet::meet(announced.backend.clone(), life, move || fence.get(), self.clock);
-        self.calls.push(Box::pin(async move { Done::Met(announced, asked.await) }));
+        self.meeting.insert(life, announced);
+        self.calls.push(Box::pin(async move { Done::Met(life, asked.await) }));
     }
 
     /// Takes over a life that has answered; whatever was before it is over.
-    fn met(&mut self, announced: Announced, met: Option<meet::Met>) {
-        let life = announced.said.life;
-        self.meeting.remove(&life);
+    fn met(&mut self, life: model::Life, met: Option<meet::Met>) {
+        let Some(announced) = self.meeting.remove(&life) else { return };
         let Some(met) = met else {
             self.unmet = Some(announced);
             return;
@@ -403,7 +408,7 @@
     fn done(&mut self, done: Done) {
         match done {
             Done::Look(life, sent, answer) => self.looked(life, sent, answer),
-            Done::Met(announced, met) => self.met(announced, met),
+            Done::Met(life, met) => self.met(life, met),
             Done::Start(life, name, outcome) => self.started(life, name, outcome),
             Done::Stop(life, name) => {
                 let now = self.clock.tick();
