Let a start be late after another try has run

workflow_lives::start_for_an_earlier_life_does_not_run_in_the_next relied on a start that was still in hand when the worker started again; the next life could take that one as well, which is no fault as long as it is the only run. Now the late start is one that another try has overtaken.

--- a/tests/testsuite/workflow_lives.rs
+++ b/tests/testsuite/workflow_lives.rs
@@ -80,8 +80,10 @@
         first.keeps.set(true);
         site.submit(1, "aa", flow::step(1, 1)).await;
         workflow::until(|| first.kept_starts() > 0).await;
-        first.restart(REBORN);
         first.keeps.set(false);
+        // The start is ordered again, and that one is carried out.
+        workflow::until(|| first.is_busy()).await;
+        first.restart(REBORN);
         announce(&site, 0, true).await;
         announce(&site, 1, false).await;
         workflow::until(|| site.workers[1].is_busy()).await;
