Give each test process loopback addresses of its own

Two test runs at the same time, on one machine, gave away the same addresses: replicas of one met callers of the other. Seen once as five failures of workflow tests beside other runs; shown with four processes of 29 tests at once: all four failed before, none does now (4 x 29 passed).

--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -19,13 +19,20 @@
 pub mod world;
 
 /// Loopback addresses given away.
-static HOSTS: atomic::AtomicU16 = atomic::AtomicU16::new(1);
+static HOSTS: atomic::AtomicU32 = atomic::AtomicU32::new(1);
 
-/// A loopback address that nothing else in this process uses. A port on it can be closed and
-/// opened again: on the common address, a connection of another test may take it in between.
+/// How many addresses one process may give away.
+const MAX_HOSTS: u32 = 1 << 10;
+
+/// A loopback address that no other test uses, nor another test run beside this one. A port on it
+/// can be closed and opened again: on the common address, a connection of another test may take it
+/// in between.
 pub fn own_host() -> net::Ipv4Addr {
-    let [high, low] = HOSTS.fetch_add(1, atomic::Ordering::Relaxed).to_be_bytes();
-    net::Ipv4Addr::new(127, 64, high, low)
+    let host = HOSTS.fetch_add(1, atomic::Ordering::Relaxed);
+    assert!(host < MAX_HOSTS, "no more addresses");
+    // 127.128.0.0/9, by 13 bits of the process's number.
+    let process = std::process::id() % (1 << 13);
+    net::Ipv4Addr::from_bits((127 << 24) | (1 << 23) | (process * MAX_HOSTS) | host)
 }
 
 /// Runs a test body on the runtime that the daemons use.
