Go on with a run that the next life of its worker lists

Cause: the leader ended all runs of a worker's life the moment it heard of the next one, before it knew what that one runs. A worker that starts again under its name takes a start that was sent to the life before; it ran on there, until it was stopped as unknown, while the task was placed elsewhere 14 ms later.

A run is named by its task and number, not by the life it was ordered in. The next life's first current list decides: what it lists goes on, or ends, as the run it is; the rest is lost. Until there is such a list, the lease of the life before counts. A new leader, which finds lives in the log that are over, waits for that list as well instead of ending their runs when it begins.

--- a/src/core/dispatch/lead.rs
+++ b/src/core/dispatch/lead.rs
@@ -67,7 +67,6 @@
                 dispatch.adopt(job, run.0, run.1, now);
             }
         }
-        dispatch.lose_earlier();
         dispatch
     }
 
@@ -97,7 +96,8 @@
             .workers
             .entry(life.host)
             .or_insert_with(|| fleet::Worker::inherited(Some(life), until));
-        // Of two lives on one host the later one is the present one.
+        // Of two lives on one host the later one is the present one; its lists will tell what has
+        // become of the runs of the earlier one.
         worker.life = worker.life.max(Some(life));
         let state = if job.is_open() { runs::State::Ordered } else { runs::State::Stopping };
         let run = run_of(job, key, life, state, queue::plain_rank(job), now);
@@ -242,28 +242,17 @@
         self.plan(book, now);
     }
 
-    /// Everything of a life has certainly ended.
+    /// Everything of a life, and of those before it on its host, has certainly ended.
     pub(super) fn lose(&mut self, life: model::Life, why: order::Over) {
         let lost = self.runs.iter().filter(|(_, run)| {
             let open = run.is_held() && run.state != runs::State::Proposed;
-            run.life == life && open
+            run.life.host == life.host && run.life <= life && open
         });
         let lost: Vec<_> = lost.map(|(key, _)| *key).collect();
         self.effects.push(order::Effect::Over(life, why, lost.len()));
         self.end_lost(lost);
     }
 
-    /// Runs on a life before the present one of their host have certainly ended, but no report
-    /// will tell: the predecessor knew and may have gone before that was in the log.
-    fn lose_earlier(&mut self) {
-        let earlier = self.runs.iter().filter(|(_, run)| {
-            let present = self.workers.get(&run.life.host).and_then(|worker| worker.life);
-            Some(run.life) < present
-        });
-        let earlier = earlier.map(|(key, _)| *key).collect();
-        self.end_lost(earlier);
-    }
-
     pub(super) fn end_lost(&mut self, keys: Vec<model::RunKey>) {
         let mut endings = Vec::new();
         for key in keys {
@@ -327,7 +316,7 @@
 }
 
 /// A task as workers know it.
-fn name(job: &job::Job, key: model::TaskKey) -> model::TaskName {
+pub(super) fn name(job: &job::Job, key: model::TaskKey) -> model::TaskName {
     let model::TaskKey { occurrence, step, index, .. } = key;
     model::TaskName { id: job.submission.id.clone(), occurrence, step, index }
 }
--- a/src/core/dispatch/report.rs
+++ b/src/core/dispatch/report.rs
@@ -23,7 +23,7 @@
 
 impl lead::Dispatch {
     /// Takes an agent's report.
-    pub fn report(&mut self, book: &book::Book, host: u32, report: order::Report, now: Moment) {
+    pub fn report(&mut self, book: &book::Book, host: u32, mut report: order::Report, now: Moment) {
         let Some(worker) = self.workers.get_mut(&host) else { return };
         worker.current = report.current;
         if let Some(gone) = report.gone.filter(|gone| worker.life == Some(*gone)) {
@@ -31,19 +31,19 @@
             self.lose(gone, order::Over::Left);
         }
         let Some(worker) = self.workers.get_mut(&host) else { return };
-        let Some(said) = report.worker else {
+        let Some(said) = report.worker.take() else {
             worker.said = None;
             return;
         };
         if worker.life.is_some_and(|life| life > said.life) {
             return;
         }
-        if worker.life != Some(said.life) {
-            let before = worker.life;
-            worker.reborn(&said);
-            if let Some(life) = before {
-                self.lose(life, order::Over::Followed(said.life));
-            }
+        if worker.life != Some(said.life) && !report.current {
+            // Nothing of the life before is over until the next one has shown what it runs.
+            return;
+        }
+        if report.current {
+            self.follow(book, &said, &report);
         }
         let Some(worker) = self.workers.get_mut(&host) else { return };
         let life = said.life;
@@ -63,6 +63,50 @@
         self.tell_seen(host);
     }
 
+    /// Ends what ran in earlier lives of a worker, and goes on with what the present one lists: a
+    /// start that was sent to an earlier life may have been carried out in this one.
+    fn follow(&mut self, book: &book::Book, said: &order::Announced, report: &order::Report) {
+        let life = said.life;
+        let Some(worker) = self.workers.get_mut(&life.host) else { return };
+        let earlier = |key| self.runs.get(key).is_some_and(|run| run.life != life);
+        if worker.life == Some(life) && !worker.taken.keys().any(earlier) {
+            return;
+        }
+        let before = worker.life.filter(|before| *before != life);
+        let taken = std::mem::take(&mut worker.taken);
+        if worker.life != Some(life) {
+            worker.reborn(said);
+        }
+        let running = report.running.iter().map(|entry| (&entry.task, entry.run));
+        let finished = report.finished.iter().map(|entry| (&entry.task, entry.run));
+        let listed: BTreeSet<_> = running.chain(finished).collect();
+        let listed = |key: &model::RunKey| {
+            let name = book.jobs.get(&key.task.job).map(|job| lead::name(job, key.task));
+            name.is_some_and(|name| listed.contains(&(&name, key.run)))
+        };
+        let mut lost = Vec::new();
+        for (key, room) in taken {
+            let Some(run) = self.runs.get_mut(&key) else { continue };
+            if run.life != life {
+                // One on its way into the log was never ordered there.
+                match run.state {
+                    runs::State::Proposed | runs::State::Ending => continue,
+                    _ if listed(&key) => run.life = life,
+                    _ => {
+                        lost.push(key);
+                        continue;
+                    }
+                }
+            }
+            worker.taken.insert(key, room);
+        }
+        if let Some(before) = before.or_else(|| lost.first().map(|key| self.runs[key].life)) {
+            let why = order::Over::Followed(life);
+            self.effects.push(order::Effect::Over(before, why, lost.len()));
+        }
+        self.end_lost(lost);
+    }
+
     pub(super) fn running(
         &mut self,
         book: &book::Book,
--- /dev/null
+++ b/tests/testsuite/dispatch_lives.rs
@@ -0,0 +1,90 @@
+//! What becomes of runs when their worker begins another life, replayed without sockets.
+
+use hemlockcleat::core::workflow::model;
+
+use crate::support::flow;
+
+fn name(id: &str) -> model::TaskName {
+    model::TaskName { id: id.to_owned(), occurrence: 0, step: 0, index: 0 }
+}
+
+/// A task of 8 accelerators was ordered on the first worker; the second one is free.
+fn ordered() -> flow::World {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), [(0, name("aa"), 1)]);
+    world.connect(1);
+    world.report(flow::worker(1, 1), &[], &[]);
+    world
+}
+
+#[test]
+fn run_is_lost_once_the_next_life_does_not_list_it() {
+    let mut world = ordered();
+    world.report(flow::worker(0, 2), &[], &[]);
+    world.tick(1);
+    assert_eq!(world.take_starts().len(), 1);
+}
+
+#[test]
+fn run_goes_on_that_the_next_life_lists() {
+    let mut world = ordered();
+    world.report(flow::worker(0, 2), &[(name("aa"), 1, 10)], &[]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), []);
+    let done = flow::finished(1, &name("aa"), 1, model::How::Done);
+    world.report(flow::worker(0, 2), &[], &[done]);
+    assert!(!world.book.open().any(|_| true), "its end counts");
+}
+
+#[test]
+fn end_in_the_next_life_counts() {
+    let mut world = ordered();
+    let done = flow::finished(1, &name("aa"), 1, model::How::Done);
+    world.report(flow::worker(0, 2), &[], &[done]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), []);
+    assert!(!world.book.open().any(|_| true));
+}
+
+#[test]
+fn run_is_not_lost_before_the_next_life_has_shown_its_lists() {
+    let mut world = ordered();
+    world.report_stale(flow::worker(0, 2));
+    world.tick(1);
+    assert_eq!(world.take_starts(), []);
+}
+
+/// The next life never shows its lists: the lease of the one before still counts.
+#[test]
+fn run_is_lost_with_its_lease_behind_a_silent_next_life() {
+    let mut world = ordered();
+    for _ in 0..5 {
+        world.tick(2000);
+        world.report_stale(flow::worker(0, 2));
+        world.report(flow::worker(1, 1), &[], &[]);
+    }
+    world.tick(1);
+    assert_eq!(world.take_starts(), [(1, name("aa"), 2)]);
+}
+
+/// The book names the life of a placement, also when the run goes on in the next one.
+#[test]
+fn run_in_the_next_life_is_adopted_by_a_new_leader() {
+    let mut world = ordered();
+    world.report(flow::worker(0, 2), &[(name("aa"), 1, 10)], &[]);
+    world.submit(1, "bb", vec![flow::step(1, 8)]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), [(1, name("bb"), 1)]);
+    world.change_leader();
+    world.connect(0);
+    world.connect(1);
+    world.report(flow::worker(0, 2), &[(name("aa"), 1, 20)], &[]);
+    world.report(flow::worker(1, 1), &[(name("bb"), 1, 10)], &[]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), []);
+    let done = flow::finished(1, &name("aa"), 1, model::How::Done);
+    world.report(flow::worker(0, 2), &[], &[done]);
+    assert_eq!(world.book.open().count(), 1);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod control_session;
 mod discovery;
 mod dispatch;
+mod dispatch_lives;
 mod dispatch_order;
 mod dispatch_policy;
 mod dispatch_speed;
--- a/tests/testsuite/support/flow.rs
+++ b/tests/testsuite/support/flow.rs
@@ -186,6 +186,21 @@
         said: order::Announced,
         running: &[(model::TaskName, u32, u32)],
         finished: &[order::Finished],
+    ) {
+        self.report_as(true, said, running, finished);
+    }
+
+    /// Reports a worker whose lists are too old to count.
+    pub fn report_stale(&mut self, said: order::Announced) {
+        self.report_as(false, said, &[], &[]);
+    }
+
+    fn report_as(
+        &mut self,
+        current: bool,
+        said: order::Announced,
+        running: &[(model::TaskName, u32, u32)],
+        finished: &[order::Finished],
     ) {
         self.reports += 1;
         let running = running.iter().map(|(task, run, percent)| order::Running {
@@ -198,7 +213,7 @@
             sequence: self.reports,
             gone: None,
             stays: None,
-            current: true,
+            current,
             running: running.collect(),
             finished: finished.to_vec(),
             worker: Some(said),
