Shut out calls for an earlier life of a worker

Cause: calls to a worker that starts again under its name carried nothing that told its lives apart. The fencing token was the leader's term, alike for all lives; the new life has seen no token, has stopped no run, and reads the old deadline on a clock that begins anew. So a start, or a hold with the ends to forget, that was sent to the life before and is carried out seconds later took effect in the next one.

The token is now the term and, below it, when the life began; it rises with either. The first call to a new life carries its token and shuts out all that was sent before, and the leader hears of the life only by an answer to such a call (and after a change of term, only by one under that term). A look that finds another life answering asks that one at once instead of waiting for its heartbeat. Ends are named for forgetting only while the worker still lists them.

--- a/src/runner/agent.rs
+++ b/src/runner/agent.rs
@@ -20,6 +20,7 @@
 use crate::net::seeds;
 use crate::runner::backend;
 use crate::runner::backend::Backend;
+use crate::runner::fence;
 use crate::runner::hold;
 use crate::runner::launch;
 use crate::runner::meet;
@@ -106,8 +107,8 @@
 
 /// What a call to the worker has come to.
 enum Done {
-    /// A look: when it was sent, and its answer.
-    Look(model::Life, core_time::Tick, Result<backend::Listing, backend::Unlisted>),
+    /// A look, and its answer.
+    Look(model::Life, meet::Asked, Result<backend::Listing, backend::Unlisted>),
     /// A life that was announced was asked whether it is there.
     Met(model::Life, Option<meet::Met>),
     /// An order to start.
@@ -138,8 +139,8 @@
     stays: Option<core_time::Tick>,
     backend: rc::Rc<dyn Backend>,
     seen: u64,
-    /// The last listing and when it was asked for.
-    listing: Option<(backend::Listing, core_time::Tick)>,
+    /// The last listing and how it was asked for.
+    listing: Option<(backend::Listing, meet::Asked)>,
     /// Runs whose stop was answered, and when: they are closed once a later listing lacks them.
     closing: BTreeMap<RunName, core_time::Tick>,
     /// Orders in hand.
@@ -148,14 +149,25 @@
     alive: rc::Rc<()>,
 }
 
+impl Worker {
+    /// The ends up to this one are to be forgotten; 0 if the worker lists none of them. Said no
+    /// oftener than needed, since the next life of the worker counts its ends from 1 again.
+    fn unforgotten(&self) -> u64 {
+        let mut ends = self.listing.iter().flat_map(|(listing, _)| &listing.finished);
+        if ends.any(|end| end.number <= self.seen) { self.seen } else { 0 }
+    }
+}
+
 struct Agent {
     finder: rc::Rc<leader::Finder>,
     cell: u16,
     host: u32,
     clock: clock::Clock,
     hold: hold::Hold,
-    /// The term of the last leader; orders under way carry the newest.
-    fence: rc::Rc<cell::Cell<u64>>,
+    /// The token of calls; stops under way carry the newest.
+    fence: rc::Rc<fence::Fence>,
+    /// The lowest token that the worker has to have seen for its lists to count.
+    least: u64,
     session: Option<Session>,
     worker: Option<Worker>,
     /// Lives that are being asked whether they are there, with what was announced last.
@@ -182,6 +194,7 @@
             clock: clock::Clock::start(),
             hold: hold::Hold::default(),
             fence: rc::Rc::default(),
+            least: 0,
             session: None,
             worker: None,
             meeting: BTreeMap::new(),
@@ -265,8 +278,9 @@
             return;
         }
         event::agent::WORKER_SEEN.log(format_args!("name={} life={life}", announced.said.name));
+        self.fence.call(life);
         let fence = self.fence.clone();
-        let asked = meet::meet(announced.backend.clone(), life, move || fence.get(), self.clock);
+        let asked = meet::meet(announced.backend.clone(), life, move || fence.token(), self.clock);
         self.meeting.insert(life, announced);
         self.calls.push(Box::pin(async move { Done::Met(life, asked.await) }));
     }
@@ -288,6 +302,7 @@
             met.listing.running.len(),
             met.listing.finished.len()
         ));
+        self.least = self.least.max(self.fence.token_of(life));
         self.hold.reborn();
         self.hold.clock(met.listing.clock, self.clock.tick());
         self.worker = Some(Worker {
@@ -296,7 +311,7 @@
             stays: announced.stays,
             backend: announced.backend,
             seen: 0,
-            listing: Some((met.listing, met.sent)),
+            listing: Some((met.listing, met.asked)),
             closing: BTreeMap::new(),
             busy: BTreeSet::new(),
             alive: rc::Rc::new(()),
@@ -318,7 +333,8 @@
         let Some(found) = found else { return };
         let wire::Down::Welcome { term, .. } = &found.greeting else { return };
         event::agent::CONNECTED.log(format_args!("addr={} term={term}", found.addr));
-        self.fence.set(self.fence.get().max(*term));
+        self.fence.lead(*term);
+        self.least = self.fence.token();
         self.session = Some(found);
         self.asked = None;
         self.look(0);
@@ -366,7 +382,7 @@
         let now = self.clock.tick();
         let name = (start.task.clone(), start.run);
         let valid = self.hold.is_valid(now);
-        let (until, fence) = (self.hold.until(), self.fence.get());
+        let (until, fence) = (self.hold.until(), self.fence.token());
         let Some(worker) = self.worker.as_mut().filter(|w| w.said.life == start.life) else {
             return;
         };
@@ -395,7 +411,7 @@
         event::agent::TASK_STOP.log(format_args!("task={task} run={run}"));
         worker.busy.insert(name.clone());
         let alive = rc::Rc::downgrade(&worker.alive);
-        let fence = move || alive.upgrade().map(|_| newest.get());
+        let fence = move || alive.upgrade().map(|_| newest.token());
         let stopping = launch::stop(worker.backend.clone(), task, run, fence);
         self.calls.push(Box::pin(async move {
             match stopping.await {
@@ -407,7 +423,7 @@
 
     fn done(&mut self, done: Done) {
         match done {
-            Done::Look(life, sent, answer) => self.looked(life, sent, answer),
+            Done::Look(life, asked, answer) => self.looked(life, asked, answer),
             Done::Met(life, met) => self.met(life, met),
             Done::Start(life, name, outcome) => self.started(life, name, outcome),
             Done::Stop(life, name) => {
@@ -449,33 +465,42 @@
 
     /// Asks the worker after its runs, and extends its lease.
     fn look(&mut self, wait: u64) {
-        let (until, fence) = (self.hold.until(), self.fence.get());
+        let (until, fence) = (self.hold.until(), self.fence.token());
         let valid = self.hold.is_valid(self.clock.tick());
         let Some(worker) = &self.worker else { return };
         let until = until.filter(|_| valid);
-        let look = backend::Look { fence, until, seen: worker.seen, wait };
-        let (life, sent) = (worker.said.life, self.clock.tick());
+        let look = backend::Look { fence, until, seen: worker.unforgotten(), wait };
+        let life = worker.said.life;
+        let asked = meet::Asked { at: self.clock.tick(), fence };
         let limit = time::Duration::from_millis(wait) + LOOK_SLACK;
         let answer = tokio::time::timeout(limit, worker.backend.look(look));
         self.looks += 1;
         self.calls.push(Box::pin(async move {
             let silent = |_| Err(backend::Unlisted::Unanswered("no answer".to_owned()));
-            Done::Look(life, sent, answer.await.unwrap_or_else(silent))
+            Done::Look(life, asked, answer.await.unwrap_or_else(silent))
         }));
     }
 
     fn looked(
         &mut self,
         life: model::Life,
-        sent: core_time::Tick,
+        asked: meet::Asked,
         answer: Result<backend::Listing, backend::Unlisted>,
     ) {
         let now = self.clock.tick();
         let mut failed = true;
+        let mut found = None;
         if let Some(worker) = self.worker.as_mut().filter(|worker| worker.said.life == life) {
             match answer {
                 Ok(listing) if listing.born.is_some_and(|born| born != life.born) => {
                     event::agent::WORKER_SILENT.log(format_args!("life={life} another life"));
+                    // It is not placed on before it has announced what it is itself.
+                    let born = listing.born.unwrap_or(life.born);
+                    let next = model::Life { born, ..life };
+                    let said =
+                        order::Announced { life: next, draining: true, ..worker.said.clone() };
+                    let backend = worker.backend.clone();
+                    found = Some(Announced { said, stays: None, backend });
                 }
                 Ok(listing) => {
                     failed = false;
@@ -483,7 +508,7 @@
                     // Answers may overtake one another.
                     if listing.clock >= newest {
                         self.hold.clock(listing.clock, now);
-                        self.take_listing(listing, sent);
+                        self.take_listing(listing, asked);
                     }
                 }
                 // Its word alone does not prove that it is gone, nor does this alone.
@@ -493,6 +518,9 @@
                 }
             }
         }
+        if let Some(next) = found.filter(|next| next.said.life > life) {
+            self.meet(next);
+        }
         let open = self.worker.as_ref().and_then(|worker| worker.listing.as_ref());
         let open = open.is_some_and(|(listing, _)| !listing.finished.is_empty());
         self.looks -= 1;
@@ -510,7 +538,7 @@
         }
     }
 
-    fn take_listing(&mut self, listing: backend::Listing, sent: core_time::Tick) {
+    fn take_listing(&mut self, listing: backend::Listing, asked: meet::Asked) {
         let Some(worker) = &mut self.worker else { return };
         let names = |listing: &backend::Listing| -> BTreeSet<RunName> {
             listing.running.iter().map(|entry| (entry.task.clone(), entry.run)).collect()
@@ -522,7 +550,7 @@
         listed.extend(listing.finished.iter().map(|entry| (entry.task.clone(), entry.run)));
         let mut closed = Vec::new();
         worker.closing.retain(|name, answered| {
-            if *answered > sent {
+            if *answered > asked.at {
                 return true;
             }
             if !listed.contains(name) {
@@ -532,7 +560,7 @@
             false
         });
         let life = worker.said.life;
-        worker.listing = Some((listing, sent));
+        worker.listing = Some((listing, asked));
         if news {
             self.report();
         }
@@ -550,7 +578,9 @@
         let sequence = self.hold.report(now);
         let worker = self.worker.as_ref();
         let listing = worker.and_then(|worker| worker.listing.as_ref());
-        let current = listing.filter(|(_, at)| *at + CURRENT > now);
+        // Calls of an earlier term or life may have an effect until the worker has seen this token.
+        let counts = |asked: &meet::Asked| asked.at + CURRENT > now && asked.fence >= self.least;
+        let current = listing.filter(|(_, asked)| counts(asked));
         let report = order::Report {
             sequence,
             worker: worker.map(|worker| worker.said.clone()),
--- a/src/runner/meet.rs
+++ b/src/runner/meet.rs
@@ -10,6 +10,7 @@
 use crate::control::clock;
 use crate::core::time as core_time;
 use crate::core::workflow::model;
+use crate::macros;
 use crate::runner::backend;
 use crate::runner::backend::Backend;
 use crate::telemetry::event;
@@ -23,13 +24,23 @@
 /// The pause between two tries.
 const PAUSE: time::Duration = time::Duration::from_millis(60);
 
+macros::small! {
+    /// How a worker was asked for its lists.
+    pub struct Asked {
+        /// When.
+        pub at: core_time::Tick,
+        /// With which fencing token.
+        pub fence: u64,
+    }
+}
+
 /// The first answer of a life.
 #[derive(Debug)]
 pub struct Met {
     /// Its lists.
     pub listing: backend::Listing,
-    /// When they were asked for.
-    pub sent: core_time::Tick,
+    /// How they were asked for.
+    pub asked: Asked,
 }
 
 /// Asks after the runs of a life; none if it does not answer as itself.
@@ -44,11 +55,11 @@
         if attempt > 0 {
             tokio::time::sleep(PAUSE).await;
         }
-        let sent = clock.tick();
-        let look = backend::Look { fence: fence(), until: None, seen: 0, wait: 0 };
+        let asked = Asked { at: clock.tick(), fence: fence() };
+        let look = backend::Look { fence: asked.fence, until: None, seen: 0, wait: 0 };
         match tokio::time::timeout(TIMEOUT, backend.look(look)).await {
             Ok(Ok(listing)) if listing.born.is_none_or(|born| born == life.born) => {
-                return Some(Met { listing, sent });
+                return Some(Met { listing, asked });
             }
             Ok(Ok(_)) => {
                 last = "another life answers".to_owned();
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -5,6 +5,7 @@
 //! what the worker runs, and the leader orders again what is missing.
 //!
 //! - [`backend`]: the worker as the agent sees it, implemented by whoever speaks its protocol
+//! - [`fence`]: the token that shuts out calls for an earlier term or life
 //! - [`hold`]: the lease and the worker's clock
 //! - [`meet`]: asking a life that was announced whether it is there
 //! - [`launch`]: starting and stopping runs, to a certain end
@@ -12,6 +13,7 @@
 
 pub mod agent;
 pub mod backend;
+pub mod fence;
 pub mod hold;
 pub mod launch;
 pub mod meet;
--- a/tests/testsuite/runner.rs
+++ b/tests/testsuite/runner.rs
@@ -7,6 +7,7 @@
 use hemlockcleat::core::time;
 use hemlockcleat::core::workflow::model;
 use hemlockcleat::runner::backend;
+use hemlockcleat::runner::fence;
 use hemlockcleat::runner::hold;
 use hemlockcleat::runner::launch;
 
@@ -74,6 +75,43 @@
     assert_eq!(hold.until(), None);
 }
 
+#[rstest::rstest]
+#[case::a_later_life(1, 1_800_000_000_000, 1, 1_800_000_000_016)]
+#[case::a_later_term(1, 1_800_000_000_000, 2, 1_800_000_000_000)]
+#[case::a_later_term_for_an_earlier_life(1, 1_800_000_000_000, 2, 1_700_000_000_000)]
+fn token_rises_with(
+    #[case] term: u64,
+    #[case] born: u64,
+    #[case] next_term: u64,
+    #[case] next_born: u64,
+) {
+    let (earlier, later) = (fence::Fence::default(), fence::Fence::default());
+    earlier.lead(term);
+    earlier.call(model::Life { host: 1, born });
+    later.lead(next_term);
+    later.call(model::Life { host: 1, born: next_born });
+    assert!(earlier.token() < later.token());
+}
+
+#[test]
+fn token_never_goes_back() {
+    let token = fence::Fence::default();
+    token.lead(3);
+    token.call(model::Life { host: 1, born: 1_800_000_000_000 });
+    let newest = token.token();
+    token.lead(2);
+    token.call(model::Life { host: 1, born: 1_700_000_000_000 });
+    assert_eq!(token.token(), newest);
+}
+
+#[test]
+fn token_of_a_hundred_thousand_terms_fits_a_double() {
+    let token = fence::Fence::default();
+    token.lead(100_000);
+    token.call(model::Life { host: 1, born: 4_000_000_000_000 });
+    assert!(token.token() < 1 << 53);
+}
+
 /// What a worker does with one call.
 #[derive(Clone, Copy)]
 enum Answer {
--- a/tests/testsuite/workflow_lives.rs
+++ b/tests/testsuite/workflow_lives.rs
@@ -56,11 +56,15 @@
 /// Two workers, of which only the first takes tasks.
 async fn two_workers() -> Site {
     let site = Site::start(1, 2).await;
+    announce(&site, 1, true).await;
+    site.configure().await;
+    // The leader knows the first worker once a task has run there.
+    site.submit(1, "first", flow::step(1, 1)).await;
+    assert_eq!(site.ended(1, "first").await, job::Phase::Completed);
+    site.checker.starts.set(0);
     for worker in &site.workers {
         worker.work.set(LONG);
     }
-    announce(&site, 1, true).await;
-    site.configure().await;
     site
 }
 
