Let no number from outside overflow the leader's sums

Another operator saw machines end over an entry with a number too large. Played on ours: tests/testsuite/odd_numbers.rs gives jobs, workers, progress and ends the largest and smallest numbers of their types. A release wraps instead (by the code, not played): an end numbered 0 would tell the worker to forget every end. Now they saturate or are counted in wider types.

A job with occurrences was valid, and every replica that applies it makes all of their tasks at once, also after a restart. A workflow has now at most 262144 tasks in all its occurrences, which is what a single occurrence could have before; more is refused as invalid.

--- a/src/core/dispatch/fit.rs
+++ b/src/core/dispatch/fit.rs
@@ -171,7 +171,7 @@
         let used = |site: &&Site| chosen.iter().any(|(host, _)| *host == site.host);
         let used: Vec<&Site> = ground.iter().filter(used).collect();
         let poor = used.iter().filter(|site| site.doubted || (site.slow && ask.urgent)).count();
-        let left = ground.iter().map(|site| site.free.accelerators).sum();
+        let left = ground.iter().map(|site| site.free.accelerators).fold(0, u32::saturating_add);
         // A gang is as fast as its slowest member.
         let pace = used.iter().map(|site| reluctance(site, ask)).max().unwrap_or(0);
         let cost = (poor, left, pace);
--- a/src/core/dispatch/fleet.rs
+++ b/src/core/dispatch/fleet.rs
@@ -107,7 +107,7 @@
     /// The ends up to which all are durable, if that is news.
     pub fn take_seen(&mut self) -> Option<u64> {
         let open = self.ending.keys().next();
-        let seen = open.map_or(self.listed, |number| number - 1);
+        let seen = open.map_or(self.listed, |number| number.saturating_sub(1));
         if seen <= self.seen {
             return None;
         }
--- a/src/core/dispatch/pace.rs
+++ b/src/core/dispatch/pace.rs
@@ -73,7 +73,8 @@
     /// The time that a percent of its work takes, once it has shown enough progress.
     fn own(&self) -> Option<f64> {
         let (began, from) = self.first?;
-        let (at, to) = self.short.filter(|short| short.1 >= from + TELLING).unwrap_or(self.last);
+        let (at, to) =
+            self.short.filter(|short| short.1 >= from.saturating_add(TELLING)).unwrap_or(self.last);
         let done = to.checked_sub(from).filter(|done| *done >= TELLING)?;
         Some((at - began).0 as f64 / f64::from(done))
     }
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -102,9 +102,9 @@
         }
         let workers = self.workers.values().filter_map(|worker| worker.said.as_ref());
         let workers = workers.filter(|said| said.pool == turn.ask.pool);
-        let all: u32 = workers.map(|said| said.capacity.accelerators).sum();
+        let all = workers.map(|said| said.capacity.accelerators).fold(0, u32::saturating_add);
         let held = runs::of_step(&self.runs, turn.waiting.first).filter(|(_, run)| run.is_held());
-        let held = held.count() as u32 * need;
+        let held = (held.count() as u32).saturating_mul(need);
         ((all / 2).saturating_sub(held) / need) as usize
     }
 
@@ -216,13 +216,13 @@
 
     /// Whether more than half of a pool's accelerators are taken.
     fn is_crowded(&self, pool: &str) -> bool {
-        let (mut free, mut all) = (0, 0);
+        let (mut free, mut all) = (0, 0_u64);
         for worker in self.workers.values() {
             let Some(said) = worker.said.as_ref().filter(|said| said.pool == pool) else {
                 continue;
             };
-            all += said.capacity.accelerators;
-            free += worker.free().accelerators;
+            all += u64::from(said.capacity.accelerators);
+            free += u64::from(worker.free().accelerators);
         }
         free * 2 < all
     }
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -123,14 +123,15 @@
 
 /// The part of a job's work that waits, in percent, by its estimates.
 fn left(job: &job::Job, occurrence: &job::Occurrence) -> u64 {
+    // A task's work is a product of two 32-bit numbers, and a job has many tasks.
     let (mut waits, mut all) = (0, 0);
     for (step, tasks) in job.submission.workflow.steps.iter().zip(&occurrence.steps) {
-        let work = u64::from(step.estimate) * u64::from(step.accelerators.max(1));
+        let work = u128::from(step.estimate) * u128::from(step.accelerators.max(1));
         let waiting = tasks.iter().filter(|task| task.place == job::Place::Waiting).count();
-        waits += work * waiting as u64;
-        all += work * tasks.len() as u64;
+        waits += work * waiting as u128;
+        all += work * tasks.len() as u128;
     }
-    waits * 100 / all.max(1)
+    (waits * 100 / all.max(1)) as u64
 }
 
 /// The rank of a job whatever guarantees its client account has.
@@ -149,7 +150,7 @@
         }
         let account = job.submission.account.as_str();
         let used = used.entry(account).or_default();
-        *used += demand(job);
+        *used = used.saturating_add(demand(job));
         if *used <= directory.guarantee(account) {
             ranks.insert(key, GUARANTEED);
         }
@@ -168,7 +169,7 @@
     let directory = book.directory.as_ref();
     let queue = directory.and_then(|directory| directory.queue_at(&job.submission.place));
     let (stretch, latency) = queue.map_or((1000, 0), span_of);
-    time::Millis(whole_chain(&job.submission.workflow) * stretch / 1000 + latency)
+    time::Millis(whole_chain(&job.submission.workflow).saturating_mul(stretch) / 1000 + latency)
 }
 
 fn span_of(queue: &directory::Queue) -> (u64, u64) {
--- a/src/core/dispatch/reclaim.rs
+++ b/src/core/dispatch/reclaim.rs
@@ -101,7 +101,7 @@
     let need = Room::of(ask.step);
     let own = work(need, u64::from(ask.step.estimate));
     let bounded = way == Way::Stop && view.rank > queue::GUARANTEED;
-    let limit = if bounded { own * WORTH_LOSS / 100 } else { u64::MAX };
+    let limit = if bounded { own.saturating_mul(WORTH_LOSS) / 100 } else { u64::MAX };
     let mut plan = Plan::default();
     let mut planned = 0;
     while planned < count {
@@ -109,7 +109,7 @@
             break;
         };
         planned += 1;
-        plan.cost += cost;
+        plan.cost = plan.cost.saturating_add(cost);
         ground.clear(host, need, &mut plan.victims);
         let site = ground.sites.get_mut(&host)?;
         site.take(need);
@@ -141,7 +141,7 @@
         let members = runs::gang_of(view.runs, key);
         Self {
             rest: runs::remaining(view.runs, key, view.health, view.now.tick),
-            loss: members.map(|(_, member)| loss(member, view)).sum(),
+            loss: members.map(|(_, member)| loss(member, view)).fold(0, u64::saturating_add),
         }
     }
 }
@@ -187,7 +187,7 @@
         let costs = self.sites.iter().filter_map(|(host, site)| {
             let (cost, _) = self.victims(*host, site, need)?;
             let poor = if site.slow || site.doubted { POOR } else { 0 };
-            Some((cost + poor, site.free.accelerators, *host))
+            Some((cost.saturating_add(poor), site.free.accelerators, *host))
         });
         costs.min().map(|(cost, _, host)| (cost, host))
     }
@@ -207,7 +207,7 @@
                 break;
             }
             free = free.plus(self.runs[&stoppable.key].room);
-            cost += stoppable.cost;
+            cost = stoppable.cost.saturating_add(cost);
             victims.push(stoppable.key);
         }
         free.holds(need).then_some((cost, victims))
@@ -246,5 +246,6 @@
 /// What is done in a room within some milliseconds, in core milliseconds.
 fn work(room: Room, millis: u64) -> u64 {
     // An accelerator is worth eight cores.
-    millis * u64::from(room.accelerators * 8 + room.cpu / 1000).max(1)
+    let cores = u64::from(room.accelerators) * 8 + u64::from(room.cpu / 1000);
+    millis.saturating_mul(cores.max(1))
 }
--- a/src/core/workflow/model.rs
+++ b/src/core/workflow/model.rs
@@ -9,6 +9,9 @@
 /// The most tasks of one step.
 pub const MAX_TASKS: u32 = 4096;
 
+/// The most tasks of one workflow, those of all its occurrences counted.
+pub const MAX_WORK: u64 = MAX_STEPS as u64 * MAX_TASKS as u64;
+
 /// The longest text handed to each task, in bytes.
 pub const MAX_SPEC: usize = 4000;
 
@@ -179,6 +182,10 @@
                 return Some(format!("step {number} comes after a step that is not before it"));
             }
         }
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        if tasks * u64::from(self.occurrences()) > MAX_WORK {
+            return Some(format!("a job has at most {MAX_WORK} tasks in all its occurrences"));
+        }
         None
     }
 }
--- a/src/runner/hold.rs
+++ b/src/runner/hold.rs
@@ -63,6 +63,6 @@
     /// even if its clock is slow.
     pub fn until(&self) -> Option<u64> {
         let (expires, (clock, read)) = (self.expires?, self.clock?);
-        Some(clock + (expires - read).0 * SLOWEST / 1000)
+        Some(clock.saturating_add((expires - read).0.saturating_mul(SLOWEST) / 1000))
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,6 +31,7 @@
 mod lease;
 mod ledger;
 mod limit;
+mod odd_numbers;
 mod placement;
 mod placement_random;
 mod process;
--- /dev/null
+++ b/tests/testsuite/odd_numbers.rs
@@ -0,0 +1,143 @@
+//! Numbers from outside that are as large or as small as their types allow.
+
+use hemlockcleat::core::dispatch::order;
+use hemlockcleat::core::time;
+use hemlockcleat::core::workflow::model;
+use hemlockcleat::runner::hold;
+
+use crate::support::flow;
+
+/// The bound on the tasks of one workflow.
+const BOUND: u32 = 64 * 4096;
+
+fn name(id: &str, index: u32) -> model::TaskName {
+    model::TaskName { id: id.to_owned(), occurrence: 0, step: 0, index }
+}
+
+#[rstest::rstest]
+#[case::farthest(u64::MAX)]
+#[case::near(u64::MAX - 5)]
+#[case::signed(i64::MAX as u64)]
+fn clock_of_a_worker_at_its_bound(#[case] clock: u64) {
+    let mut hold = hold::Hold::default();
+    let sequence = hold.report(time::Tick(0));
+    hold.granted(sequence, time::Millis(9000));
+    hold.clock(clock, time::Tick(100));
+    let until = hold.until().expect("a lease and a clock");
+    assert!(until >= clock, "{until}");
+}
+
+#[rstest::rstest]
+#[case::percent_then_less(&[50, u32::MAX, 60])]
+#[case::percent_from_the_start(&[u32::MAX, 50, 60])]
+#[case::percent_near_the_bound(&[u32::MAX - 4, 10, u32::MAX])]
+fn progress_at_its_bound(#[case] percents: &[u32]) {
+    let mut world = flow::World::with_workers(1);
+    world.submit(0, "aa", vec![flow::step(1, 8)]);
+    world.tick(100);
+    assert_eq!(world.take_starts().len(), 1);
+    for percent in percents {
+        world.report(flow::worker(0, 1), &[(name("aa", 0), 1, *percent)], &[]);
+        world.tick(500);
+    }
+    world.submit(0, "bb", vec![flow::step(1, 8)]);
+    world.tick(500);
+    let ended = flow::finished(1, &name("aa", 0), 1, model::How::Done);
+    world.report(flow::worker(0, 1), &[], &[ended]);
+    world.tick(500);
+    assert_eq!(world.take_starts().len(), 1, "the worker goes on to be used");
+}
+
+#[test]
+fn end_without_a_number_lets_no_other_be_forgotten() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(0, "aa", vec![flow::step(1, 8)]);
+    world.tick(100);
+    world.orders.clear();
+    // The decision on the end is still on its way into the log.
+    let ended = flow::finished(0, &name("aa", 0), 1, model::How::Done);
+    world.report(flow::worker(0, 1), &[], &[ended]);
+    let seen = world.orders.iter().filter_map(|(_, order)| match order {
+        order::Order::Seen { number, .. } => Some(*number),
+        _ => None,
+    });
+    assert_eq!(seen.max().unwrap_or(0), 0);
+}
+
+#[rstest::rstest]
+#[case::accelerators(model::Step { accelerators: u32::MAX, ..flow::step(2, 0) })]
+#[case::long(model::Step { estimate: u32::MAX, accelerators: u32::MAX, ..flow::step(4096, 0) })]
+#[case::all(model::Step {
+    cpu: u32::MAX, memory: u32::MAX, spread: u32::MAX, estimate: u32::MAX, latency: u32::MAX,
+    disruptions: u32::MAX, ..flow::step(4096, u32::MAX)
+})]
+#[case::gang(model::Step { accelerators: u32::MAX, ..flow::gang(4096, 0) })]
+fn job_at_the_bounds_leaves_room_for_others(
+    #[case] step: model::Step,
+    #[values(0, 1)] priority: u32,
+) {
+    let mut world = flow::World::with_workers(1);
+    for id in ["aa", "ab", "ac"] {
+        world.submit(priority, id, vec![step.clone(), step.clone()]);
+    }
+    world.submit(2, "bb", vec![flow::step(1, 8)]);
+    for _ in 0..8 {
+        world.tick(1000);
+        world.report(flow::worker(0, 1), &[], &[]);
+    }
+    let placed = world.take_starts();
+    assert!(placed.iter().any(|(_, task, _)| task.id == "bb"), "{placed:?}");
+}
+
+#[test]
+fn workers_that_say_they_have_everything() {
+    let mut world = flow::World::with_workers(3);
+    let all = order::Room { cpu: u32::MAX, memory: u32::MAX, accelerators: u32::MAX };
+    for host in 0..2 {
+        let said = order::Announced { capacity: all, ..flow::worker(host, 1) };
+        world.report(said, &[], &[]);
+    }
+    let long = model::Step { estimate: 600_000, ..flow::step(4, 8) };
+    world.submit(1, "aa", vec![long.clone()]);
+    world.submit(1, "bb", vec![model::Step { gang: true, ..long }]);
+    world.tick(1000);
+    assert!(!world.take_starts().is_empty());
+}
+
+#[test]
+fn worker_that_stays_for_ever() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(0, "aa", vec![flow::step(1, 8)]);
+    world.tick(100);
+    let report = order::Report {
+        sequence: u64::MAX,
+        worker: Some(order::Announced { draining: true, ..flow::worker(0, 1) }),
+        gone: None,
+        stays: Some(u64::MAX),
+        current: true,
+        running: Vec::new(),
+        finished: Vec::new(),
+    };
+    world.dispatch.report(&world.book, 0, report, flow::moment(world.now));
+    world.settle();
+    world.tick(1000);
+    world.submit(0, "bb", vec![flow::step(1, 8)]);
+    world.tick(1000);
+    assert!(world.take_starts().iter().all(|(_, task, _)| task.id == "aa"), "it is leaving");
+}
+
+#[rstest::rstest]
+#[case::one_task_for_ever(1, u32::MAX, false)]
+#[case::one_too_many(1, BOUND + 1, false)]
+#[case::all_tasks_twice(4096, 65, false)]
+#[case::at_the_bound(4096, 64, true)]
+#[case::at_the_bound_one_by_one(1, BOUND, true)]
+fn workflow_with_many_occurrences(#[case] count: u32, #[case] times: u32, #[case] sound: bool) {
+    let schedule = model::Schedule { first: u64::MAX, interval: u64::MAX, times };
+    let workflow = model::Workflow {
+        spec: String::new(),
+        steps: vec![flow::step(count, 1)],
+        schedule: Some(schedule),
+    };
+    assert_eq!(workflow.fault().is_none(), sound);
+}
