Close no run by lists that can't be read whole

Cause: a row of `running` that can't be read was dropped without a word. An agent closes a run whose stop was answered once a later list lacks it, so that a run in such a row was placed elsewhere while it went on. And an answer with a clock far ahead hid all later ones, whose clocks are lower: the agent followed its worker no longer, until that ended.

Change: a listing says whether it is partial. By a partial one a run is closed only 3 s after its stop was answered, since a stop takes 400 ms; a row that stays odd therefore holds nothing up for good. An answer to a question that was asked after the last answer came is newer, whatever its clock.

Before (the agent as it was, with the new field): run_in_a_row_that_cannot_be_read_is_not_placed_ elsewhere failed, clock_that_leaps_once_does_not_end_the_following did not end within 590 s (the agent asks without a pause); odd_row_that_stays_holds_no_run_up_for_good passed, it guards the 3 s. After: these three and the other tests of workflow.rs pass.

--- a/src/runner/agent.rs
+++ b/src/runner/agent.rs
@@ -43,6 +43,10 @@
 /// How old the worker's lists may be in a report.
 const CURRENT: core_time::Millis = core_time::Millis(2000);
 
+/// How long after a stop was answered the run has certainly ended, also where the lists can't tell:
+/// a stop takes 400 ms.
+const STOPPED: core_time::Millis = core_time::Millis(3000);
+
 /// How long the leader may leave a report unanswered.
 const SILENCE: core_time::Millis = core_time::Millis(1500);
 
@@ -141,6 +145,8 @@
     seen: u64,
     /// The last listing and how it was asked for.
     listing: Option<(backend::Listing, meet::Asked)>,
+    /// When the last listing came.
+    heard: core_time::Tick,
     /// Runs whose stop was answered, and when: they are closed once a later listing lacks them.
     closing: BTreeMap<RunName, core_time::Tick>,
     /// Orders in hand.
@@ -312,6 +318,7 @@
             backend: announced.backend,
             seen: 0,
             listing: Some((met.listing, met.asked)),
+            heard: self.clock.tick(),
             closing: BTreeMap::new(),
             busy: BTreeSet::new(),
             alive: rc::Rc::new(()),
@@ -505,8 +512,10 @@
                 Ok(listing) => {
                     failed = false;
                     let newest = worker.listing.as_ref().map_or(0, |(held, _)| held.clock);
-                    // Answers may overtake one another.
-                    if listing.clock >= newest {
+                    // Answers may overtake one another; one to a later question is newer, whatever
+                    // clock came with the other.
+                    if listing.clock >= newest || asked.at > worker.heard {
+                        worker.heard = now;
                         self.hold.clock(listing.clock, now);
                         self.take_listing(listing, asked);
                     }
@@ -548,15 +557,21 @@
         let news = before.as_ref() != Some(&running) || !listing.finished.is_empty();
         let mut listed = running;
         listed.extend(listing.finished.iter().map(|entry| (entry.task.clone(), entry.run)));
+        // What a row says that can't be read may be any run.
+        let grace = if listing.partial { STOPPED } else { core_time::Millis(0) };
         let mut closed = Vec::new();
         worker.closing.retain(|name, answered| {
             if *answered > asked.at {
                 return true;
             }
-            if !listed.contains(name) {
-                closed.push(name.clone());
-            }
             // A run that is still going on is ordered to stop again by the leader.
+            if listed.contains(name) {
+                return false;
+            }
+            if *answered + grace > asked.at {
+                return true;
+            }
+            closed.push(name.clone());
             false
         });
         let life = worker.said.life;
--- a/src/runner/backend.rs
+++ b/src/runner/backend.rs
@@ -19,6 +19,8 @@
         pub running: Vec<order::Running>,
         /// What has ended and is not forgotten.
         pub finished: Vec<order::Finished>,
+        /// Whether it has rows that name no run: then a run that it lacks may be there.
+        pub partial: bool,
     }
 
     /// A question after the runs, which also extends the worker's lease.
--- a/tests/testsuite/support/worker.rs
+++ b/tests/testsuite/support/worker.rs
@@ -22,6 +22,12 @@
 /// How long an order is held back that is carried out late.
 const LATE: time::Duration = time::Duration::from_millis(900);
 
+/// How long a stop takes that takes its time.
+const STOPPING: time::Duration = time::Duration::from_millis(400);
+
+/// A clock that no worker has, and that can be told.
+const FAR: u64 = (1 << 53) - 1;
+
 /// What all workers have seen of a task.
 #[derive(Default)]
 pub struct Checker {
@@ -96,6 +102,16 @@
     pub mute: cell::Cell<bool>,
     /// Stops that got lost.
     pub lost_stops: cell::Cell<u32>,
+    /// Whether starts are carried out and get no answer.
+    pub unheard: cell::Cell<bool>,
+    /// Whether runs go on for a while after their stop was answered.
+    pub lingers: cell::Cell<bool>,
+    /// Whether its lists have a row that names no run.
+    pub odd: cell::Cell<bool>,
+    /// Whether that is so of all rows of what runs.
+    pub hides: cell::Cell<bool>,
+    /// Whether the next list comes with a clock that is far ahead.
+    pub leaps: cell::Cell<bool>,
     orders: cell::Cell<u32>,
     /// Whether looks and starts get no answer and are kept for [`Worker::carry_out`].
     pub keeps: cell::Cell<bool>,
@@ -124,6 +140,11 @@
             late_every: cell::Cell::new(0),
             mute: cell::Cell::new(false),
             lost_stops: cell::Cell::new(0),
+            unheard: cell::Cell::new(false),
+            lingers: cell::Cell::new(false),
+            odd: cell::Cell::new(false),
+            hides: cell::Cell::new(false),
+            leaps: cell::Cell::new(false),
             orders: cell::Cell::new(0),
             keeps: cell::Cell::new(false),
             kept: cell::RefCell::default(),
@@ -316,17 +337,19 @@
     fn listing(&self) -> backend::Listing {
         self.advance();
         let runs = self.runs.borrow();
-        let running = runs.iter().map(|(task, run)| order::Running {
+        let shown = runs.iter().filter(|_| !self.hides.get());
+        let running = shown.map(|(task, run)| order::Running {
             task: task.clone(),
             run: run.number,
             saved: String::new(),
             percent: 50,
         });
         backend::Listing {
-            clock: self.clock(),
+            clock: if self.leaps.take() { FAR } else { self.clock() },
             born: Some(self.born.get()),
             running: running.collect(),
             finished: self.finished.borrow().clone(),
+            partial: self.odd.get() || self.hides.get(),
         }
     }
 }
@@ -347,7 +370,11 @@
             }
             worker.hold(&look)?;
             let give_up = time::Instant::now() + time::Duration::from_millis(look.wait);
-            while time::Instant::now() < give_up && worker.listing().finished.is_empty() {
+            let quiet = || {
+                worker.advance();
+                worker.finished.borrow().is_empty()
+            };
+            while time::Instant::now() < give_up && quiet() {
                 tokio::time::sleep(time::Duration::from_millis(10)).await;
             }
             Ok(worker.listing())
@@ -363,6 +390,10 @@
             if worker.mute.get() {
                 return Err(Unanswered("lost".to_owned()));
             }
+            if worker.unheard.get() {
+                worker.launch(&launch);
+                return Err(Unanswered("lost".to_owned()));
+            }
             if worker.keeps.get() {
                 worker.kept.borrow_mut().push(Kept::Start(launch));
                 return Err(Unanswered("lost".to_owned()));
@@ -393,7 +424,14 @@
             if worker.is_fenced(fence) {
                 return Err(Unanswered("fence".to_owned()));
             }
-            worker.halt(&task, run);
+            if worker.lingers.get() {
+                actix_rt::spawn(async move {
+                    tokio::time::sleep(STOPPING).await;
+                    worker.halt(&task, run);
+                });
+            } else {
+                worker.halt(&task, run);
+            }
             Ok(())
         })
     }
--- a/tests/testsuite/workflow.rs
+++ b/tests/testsuite/workflow.rs
@@ -379,3 +379,55 @@
         site.stop().await;
     });
 }
+
+/// The start of a run gets no answer, and its stop does before the run has ended.
+#[test]
+fn run_in_a_row_that_cannot_be_read_is_not_placed_elsewhere() {
+    support::run(async {
+        let site = Site::start(1, 2).await;
+        for worker in &site.workers {
+            worker.unheard.set(true);
+            worker.lingers.set(true);
+            worker.hides.set(true);
+        }
+        site.configure().await;
+        site.submit(1, "aa", flow::step(1, 1)).await;
+        assert_eq!(site.ended(1, "aa").await, job::Phase::Completed);
+        assert_eq!(site.checker.starts.get(), 1);
+        site.stop().await;
+    });
+}
+
+#[test]
+fn odd_row_that_stays_holds_no_run_up_for_good() {
+    support::run(async {
+        let site = Site::start(1, 1).await;
+        site.configure().await;
+        let worker = site.workers[0].clone();
+        worker.odd.set(true);
+        worker.mute.set(true);
+        site.submit(1, "aa", flow::step(1, 1)).await;
+        until(|| worker.lost_stops.get() > 0).await;
+        worker.mute.set(false);
+        assert_eq!(site.ended(1, "aa").await, job::Phase::Completed);
+        site.stop().await;
+    });
+}
+
+#[test]
+fn clock_that_leaps_once_does_not_end_the_following() {
+    support::run(async {
+        let site = Site::start(1, 1).await;
+        site.configure().await;
+        site.submit(1, "aa", flow::step(1, 1)).await;
+        assert_eq!(site.ended(1, "aa").await, job::Phase::Completed);
+        site.workers[0].leaps.set(true);
+        until(|| !site.workers[0].leaps.get()).await;
+        for number in 0..4 {
+            let id = format!("job{number}");
+            site.submit(1, &id, flow::step(4, 1)).await;
+            assert_eq!(site.ended(1, &id).await, job::Phase::Completed);
+        }
+        site.stop().await;
+    });
+}
