--- a/src/telemetry/event/agent.rs
+++ b/src/telemetry/event/agent.rs
@@ -26,6 +26,7 @@
     WORKER_ANSWERS,
     START_CONFIRMED,
     WORKER_UNMET,
+    ENTRY_ODD,
 ];
 
 /// A session with the leading control replica stands.
@@ -72,3 +73,5 @@
 pub const START_CONFIRMED: Event = Event::new(520, log::Level::Info, "start confirmed late");
 /// A life that was announced does not answer as itself; it counts for nothing until it does.
 pub const WORKER_UNMET: Event = Event::new(521, log::Level::Warn, "announced worker not met");
+/// An entry of another writer was skipped, whole or in part; the first of its kind.
+pub const ENTRY_ODD: Event = Event::new(530, log::Level::Warn, "odd entry skipped");
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -48,6 +48,9 @@
 /// Attempts that ended at this agent, by `result`.
 pub const ATTEMPTS: &str = "hemlockcleat_attempts_total";
 
+/// Entries of other writers that were skipped, whole or in part, by `kind`.
+pub const ODD_ENTRIES: &str = "hemlockcleat_odd_entries_total";
+
 /// Workflows that ended, by `phase`.
 pub const JOBS_ENDED: &str = "hemlockcleat_workflows_ended_total";
 /// Runs of tasks that ended, by `how`.
@@ -99,6 +102,7 @@
     metric(RUNS_DOUBLED, Kind::Counter, "Runs listed while another run of their task was placed"),
     metric(PLACE_SECONDS, Kind::Histogram, "From acceptance to a task's first placement"),
     metric(STEP_SECONDS, Kind::Histogram, "Wait of a step for places, by rank"),
+    metric(ODD_ENTRIES, Kind::Counter, "Entries of other writers that were skipped, by kind"),
     metric(REQUESTS, Kind::Counter, "Requests answered, by outcome"),
     metric(REQUEST_SECONDS, Kind::Histogram, "From a request's arrival to its answer"),
     metric(RESPONSES, Kind::Counter, "HTTP responses, by status"),
