Make what is read at an opening last, and leave nothing unfinished in the folder

The replica answers for them without another write, so a loss of power right after took back what it had stood for. - A new segment was begun before the last seal of the one before was synced.

The fake disk takes a cut for synced, as the trait says, and can refuse bytes to files by name.

--- a/src/store/folder.rs
+++ b/src/store/folder.rs
@@ -73,11 +73,12 @@
             Some(id) => id,
             None => write_mark(disk.as_ref(), entry::Identity { replica, store: fresh })?,
         };
+        remove_unfinished(disk.as_ref(), &files);
         let scanned = scan(disk.as_ref(), id.store, &files)?;
         Self::resume(disk, id, scanned)
     }
 
-    /// Makes the folder fit for writing again.
+    /// Makes the folder fit for writing again, and makes what was read last.
     fn resume(
         disk: sync::Arc<dyn disk::Disk>,
         id: entry::Identity,
@@ -93,7 +94,10 @@
                 if scanned.cut > 0 {
                     disk.truncate(&name, sound).map_err(|error| store::Error::io(&name, error))?;
                 }
-                let file = disk.append(&name).map_err(|error| store::Error::io(&name, error))?;
+                let mut file =
+                    disk.append(&name).map_err(|error| store::Error::io(&name, error))?;
+                // Whoever wrote it may have ended, or failed, between the write and the sync.
+                file.sync().map_err(|error| store::Error::io(&name, error))?;
                 (segment.number, file, sound)
             }
             unfinished => {
@@ -102,6 +106,7 @@
                 (number, file, length)
             }
         };
+        sync_folder(disk.as_ref())?;
         let segments = scanned.segments.into_iter().map(|(segment, _)| segment).collect();
         let hard = scanned.replay.hard;
         let mut store =
@@ -113,6 +118,9 @@
             }])?;
             store.last = base;
         }
+        if base > ids::LogIndex(0) {
+            store.drop_covered(base)?;
+        }
         let entries = scanned.replay.entries.into_iter().collect();
         let loaded = Loaded { id, hard, snapshot: scanned.snapshot, entries, cut: scanned.cut };
         Ok((store, loaded))
@@ -205,6 +213,9 @@
     }
 
     fn rotate(&mut self) -> Result<(), store::Error> {
+        // Only the last segment may end in a torn write, and its seal is not synced yet.
+        let name = segment::name(self.number);
+        self.file.sync().map_err(|error| store::Error::io(&name, error))?;
         let number = self.number + 1;
         let begun = begin(self.disk.as_ref(), self.id.store, number, &self.hard)?;
         self.segments.push(Segment { number: self.number, last: self.last });
@@ -227,7 +238,19 @@
         for segment in self.segments.drain(..covered) {
             remove(&segment::name(segment.number))?;
         }
-        disk.sync_folder().map_err(|error| store::Error::io("the data folder", error))
+        sync_folder(disk)
+    }
+}
+
+fn sync_folder(disk: &dyn disk::Disk) -> Result<(), store::Error> {
+    disk.sync_folder().map_err(|error| store::Error::io("the data folder", error))
+}
+
+/// Removes what was never finished: it takes room that the log may need.
+fn remove_unfinished(disk: &dyn disk::Disk, files: &[String]) {
+    for file in files.iter().filter(|file| [MARK_ASIDE, snapshot::ASIDE].contains(&file.as_str())) {
+        // What can't be removed is written over by the next one.
+        let _ = disk.remove(file);
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -50,6 +50,7 @@
 mod standin;
 mod store;
 mod store_disk;
+mod store_full;
 mod support;
 mod telemetry;
 mod trace;
--- a/tests/testsuite/store_disk.rs
+++ b/tests/testsuite/store_disk.rs
@@ -21,6 +21,8 @@
     pub syncs: Option<usize>,
     /// Syncs of the folder that may yet succeed.
     pub folder_syncs: Option<usize>,
+    /// How the names of files begin that take no more bytes.
+    pub full: Option<&'static str>,
 }
 
 /// Counts one use, or fails if none is left.
@@ -125,6 +127,10 @@
 
     fn truncate(&self, name: &str, length: u64) -> io::Result<()> {
         self.edit(name, |bytes| bytes.truncate(length as usize));
+        let state = &mut *self.state();
+        if let (Some(content), Some(named)) = (state.files.get(name), state.names.get_mut(name)) {
+            *named = content.clone();
+        }
         Ok(())
     }
 
@@ -150,7 +156,8 @@
 impl disk::File for File {
     fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         let state = &mut *self.disk.state();
-        let room = state.faults.room.unwrap_or(usize::MAX);
+        let full = state.faults.full.is_some_and(|prefix| self.name.starts_with(prefix));
+        let room = if full { 0 } else { state.faults.room.unwrap_or(usize::MAX) };
         let fits = bytes.len().min(room);
         let content = state.files.get_mut(&self.name).ok_or_else(missing)?;
         content.written.extend_from_slice(&bytes[..fits]);
