Stop the replica when a port can't be opened

Cause: Control::start_with opened the replica first and left it running if one of the two ports was taken. The replica held its folder's lock from then on, and with the metrics' port also the peers' port, so each later try of keep::run was refused for as long as the process ran.

Change: a failed start stops what it has started.

Before: both cases of taken_port_is_tried_again failed, with the folder locked. After: they pass.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -100,18 +100,20 @@
             cell: ids::CellKey(settings.cell),
             key: ids::ReplicaKey(settings.replica),
         };
-        let server = stream::Server::bind(settings.listen, MAX_CONNECTIONS, rc::Rc::new(router))
-            .await
-            .map_err(|source| Error::Listen(settings.listen, source))?;
+        let health = health::Health { shared: proposer.shared.clone() };
+        let (server, http) = match listen(&settings, router, health).await {
+            Ok(servers) => servers,
+            Err(error) => {
+                // What is left running would hold the folder against the next try.
+                replica.stop().await;
+                return Err(error);
+            }
+        };
         event::general::STARTED.log(format_args!(
             "role=control replica={} addr={}",
             settings.replica,
             server.addr()
         ));
-        let health = rc::Rc::new(health::Health { shared: proposer.shared.clone() });
-        let http = http::Server::bind(settings.http, http::Limits::default(), health)
-            .await
-            .map_err(|source| Error::Listen(settings.http, source.into()))?;
         let dispatch_loop = dispatch_loop::DispatchLoop::start(proposer.clone());
         let leader_loop = leader_loop::LeaderLoop::start(proposer);
         Ok(Self { server, replica, leader_loop, dispatch_loop, http })
@@ -153,6 +155,24 @@
     }
 }
 
+/// Opens both ports, or neither.
+async fn listen(
+    settings: &settings::control::Settings,
+    router: Router,
+    health: health::Health,
+) -> Result<(stream::Server, http::Server), Error> {
+    let server = stream::Server::bind(settings.listen, MAX_CONNECTIONS, rc::Rc::new(router))
+        .await
+        .map_err(|source| Error::Listen(settings.listen, source))?;
+    match http::Server::bind(settings.http, http::Limits::default(), rc::Rc::new(health)).await {
+        Ok(http) => Ok((server, http)),
+        Err(source) => {
+            server.stop().await;
+            Err(Error::Listen(settings.http, source.into()))
+        }
+    }
+}
+
 /// Sends each stream to whoever serves its path.
 struct Router {
     proposer: proposer::Proposer,
--- a/tests/testsuite/keep.rs
+++ b/tests/testsuite/keep.rs
@@ -3,11 +3,14 @@
 use std::cell;
 use std::error;
 use std::future;
+use std::net;
 use std::rc;
 use std::time;
 
 use futures_util::future::LocalBoxFuture;
+use hemlockcleat::control;
 use hemlockcleat::control::keep;
+use hemlockcleat::settings;
 
 use crate::support;
 
@@ -90,3 +93,43 @@
         assert_eq!(ended, Err("disk full".to_owned()));
     });
 }
+
+/// A port that is taken for a while must cost no more than a try: what a failed start leaves behind
+/// would hold the folder, or the other port, for good.
+#[rstest::rstest]
+#[case::peers(true)]
+#[case::metrics(false)]
+fn taken_port_is_tried_again(#[case] peers: bool) {
+    support::run(async move {
+        let folder = tempfile::tempdir().expect("a folder");
+        let free = || net::TcpListener::bind((support::own_host(), 0)).expect("a port");
+        let (listen, http) = (free(), free());
+        let addr = |listener: &net::TcpListener| listener.local_addr().expect("an address");
+        let text = serde_json::json!({
+            "replica": 1,
+            "data_center": "dc1",
+            "data_folder": folder.path(),
+            "listen": addr(&listen),
+            "http": addr(&http),
+            "peers": [{"replica": 1, "addr": addr(&listen)}],
+        });
+        let settings: settings::control::Settings =
+            settings::parse(&text.to_string()).expect("settings");
+        let (taken, other) = if peers { (listen, http) } else { (http, listen) };
+        drop(other);
+        let refused = control::Control::start(settings.clone()).await.err();
+        assert!(matches!(refused, Some(control::Error::Listen(..))), "{refused:?}");
+        drop(taken);
+        let give_up = time::Instant::now() + time::Duration::from_secs(20);
+        let started = loop {
+            match control::Control::start(settings.clone()).await {
+                // A child process that another test is about to start holds a copy of the port.
+                Err(control::Error::Listen(..)) if time::Instant::now() < give_up => {
+                    tokio::time::sleep(time::Duration::from_millis(2)).await;
+                }
+                started => break started,
+            }
+        };
+        started.unwrap_or_else(|error| panic!("{error}")).stop().await;
+    });
+}
