Test disks that are full by turns

Every change has to be answered within 8 s, to the end, and none that was acknowledged may be missing.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod entry_faults;
 mod entry_page;
 mod entry_process;
+mod full_turns;
 mod gang;
 mod guide;
 mod keep;
--- a/tests/testsuite/replica_support.rs
+++ b/tests/testsuite/replica_support.rs
@@ -9,6 +9,7 @@
 use std::time;
 
 use futures_util::future;
+use hemlockcleat::control::keep;
 use hemlockcleat::control::machine;
 use hemlockcleat::control::machine::Log as _;
 use hemlockcleat::control::replica;
@@ -17,6 +18,7 @@
 use hemlockcleat::net::stream;
 use hemlockcleat::settings;
 use hemlockcleat::settings::control;
+use tokio::sync::oneshot;
 
 use crate::store_disk;
 use crate::support;
@@ -65,6 +67,42 @@
     }
 }
 
+/// A replica that runs on a disk that fails at times.
+struct Running {
+    replica: rc::Rc<replica::Replica>,
+    slot: Slot,
+}
+
+impl keep::Kept for Running {
+    fn failed(&self) -> future::LocalBoxFuture<'_, String> {
+        Box::pin(self.replica.failed())
+    }
+
+    fn stop(self: Box<Self>) -> future::LocalBoxFuture<'static, ()> {
+        Box::pin(async move {
+            self.slot.0.take();
+            self.replica.stop().await;
+        })
+    }
+}
+
+/// A replica that is kept running, as a process keeps its own.
+pub struct Kept {
+    pub disk: store_disk::Memory,
+    /// How often it was opened.
+    pub opened: rc::Rc<cell::Cell<u64>>,
+    stop: oneshot::Sender<()>,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+impl Kept {
+    /// Stops the replica.
+    pub async fn stop(self) {
+        self.stop.send(()).expect("it is kept");
+        self.task.await.expect("it has not panicked");
+    }
+}
+
 /// One replica with its folder and its listener.
 pub struct Node {
     pub settings: control::Settings,
@@ -99,6 +137,32 @@
         self.slot.0.replace(Some(started.expect("the replica starts")));
     }
 
+    /// Keeps the replica running on a disk that may fail for a while.
+    pub fn keep(&self) -> Kept {
+        let disk = store_disk::Memory::default();
+        let opened = rc::Rc::new(cell::Cell::new(0));
+        let (stop, stopped) = oneshot::channel();
+        let settings = self.settings.clone();
+        let (machine, slot) = (self.machine.clone(), self.slot.clone());
+        let (on, count) = (disk.clone(), opened.clone());
+        let task = actix_rt::spawn(async move {
+            let open = || async {
+                count.set(count.get() + 1);
+                machine.take();
+                let (disk, options) = (sync::Arc::new(on.clone()), replica::Options::default());
+                let started =
+                    replica::Replica::start_with(&settings, machine.clone(), disk, options);
+                let replica = started.await?;
+                slot.0.replace(Some(replica.clone()));
+                let running = Running { replica, slot: slot.clone() };
+                Ok(Box::new(running) as Box<dyn keep::Kept>)
+            };
+            let stopped = async { stopped.await.map_err(io::Error::other) };
+            keep::keep(open, stopped).await.expect("it is kept until it is stopped");
+        });
+        Kept { disk, opened, stop, task }
+    }
+
     /// Its number and address, as a membership names them.
     pub fn member(&self) -> (ids::ReplicaKey, String) {
         (ids::ReplicaKey(self.settings.replica), self.settings.listen.to_string())
