Keep a run whose placement is in the log twice

A second, equal placement of a run that was placed already was reported to the leader as Unplaced: it dropped the run, which went on. Its end was then taken note of without reaching the book, so that the next leader placed the task again after its end, or nobody did. The log as it is proposes nothing twice, so this was not seen outside of the test; the book no longer depends on that.

dispatch::placement_twice_in_the_log_leaves_its_run failed before (0 runs known, 1 expected) and passes.

--- a/src/core/workflow/book.rs
+++ b/src/core/workflow/book.rs
@@ -160,9 +160,11 @@
 
     fn place(&mut self, placement: &command::Placement, events: &mut Vec<command::Event>) {
         let run = placement.key();
+        let mut repeated = false;
         let placed = self.jobs.get_mut(&run.task.job).filter(|job| job.is_open());
         let placed = placed.is_some_and(|job| {
             let Some(task) = job.task_mut(run.task) else { return false };
+            repeated = task.run == placement.run && task.place == job::Place::At(placement.life);
             if task.place != job::Place::Waiting || placement.run <= task.run {
                 return false;
             }
@@ -171,6 +173,10 @@
             job.phase = job::Phase::Running;
             true
         });
+        if repeated {
+            // The run goes on.
+            return;
+        }
         events.push(match placed {
             true => command::Event::Placed(run, placement.life),
             false => command::Event::Unplaced(run),
--- a/tests/testsuite/dispatch.rs
+++ b/tests/testsuite/dispatch.rs
@@ -357,3 +357,18 @@
     world.report(flow::worker(0, 1), &[], &[]);
     assert_eq!(world.take_starts(), started);
 }
+
+#[test]
+fn placement_twice_in_the_log_leaves_its_run() {
+    let mut world = flow::World::with_workers(1);
+    world.submit(1, "aa", vec![flow::step(1, 1)]);
+    for command in world.propose() {
+        world.apply(command.clone());
+        world.apply(command);
+    }
+    world.settle();
+    assert_eq!(world.take_starts(), [(0, name("aa", 0), 1)]);
+    assert_eq!(world.dispatch.runs().len(), 1, "what goes on is known");
+    world.report(flow::worker(0, 1), &[(name("aa", 0), 1, 10)], &[]);
+    assert_eq!(world.take_stops(), [], "and is no stranger");
+}
