Answer an agent's reports only in the session that they came in

A leader read on in a session of an agent after a later one of the same host had opened, and sent what followed to the later one. Reports are numbered anew in each process of an agent: a grant for report 7 of a killed agent was taken by its successor as one for its own report 7, which may have been sent later than the leader counts from. With the grant late by more than the margin, the worker could be held for longer than the leader believes, and its tasks run twice.

A session that is not its host's present one now ends with its next message. Sessions are numbered without repeats: before, the number of a closed session was given away again, so that the end of an earlier session could take the present one for its own and leave its agent without orders until it gave up.

runner_session::report_of_an_earlier_session_is_not_answered_in_the_present_one failed before: the grant with number 7 arrived in the second session, and the first went on.

--- a/src/control/machine_state.rs
+++ b/src/control/machine_state.rs
@@ -48,6 +48,8 @@
     pub dispatch_wake: tokio::sync::Notify,
     /// The sessions of agents of workflows, by host, each with its number.
     pub runners: cell::RefCell<BTreeMap<u32, (u64, stream::Sender<runner::Down>)>>,
+    /// The last session of an agent of workflows; numbers never repeat within a process.
+    sessions: cell::Cell<u64>,
     /// How long an agent of workflows may hold its worker after a report.
     pub lease: time::Millis,
     /// The revision of the configuration in force here.
@@ -75,6 +77,7 @@
             record: cell::RefCell::default(),
             dispatch_wake: tokio::sync::Notify::new(),
             runners: cell::RefCell::default(),
+            sessions: cell::Cell::default(),
             lease,
             revision: watch::Sender::new(ids::Revision(0)),
             role: watch::Sender::new(machine::Role::Follower { leader: None }),
@@ -119,6 +122,12 @@
         Some(result)
     }
 
+    /// Numbers another session of an agent of workflows.
+    pub fn next_session(&self) -> u64 {
+        self.sessions.set(self.sessions.get() + 1);
+        self.sessions.get()
+    }
+
     /// Resolves when the job has ended here, or this replica no longer leads.
     pub fn wait(&self, job: ids::JobKey) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
--- a/src/control/runner_session.rs
+++ b/src/control/runner_session.rs
@@ -36,8 +36,12 @@
     loop {
         tokio::select! {
             message = tokio::time::timeout(SILENCE, receiver.receive()) => match message {
-                Ok(Some(message)) => take(&proposer, host, message),
-                Ok(None) | Err(_) => break,
+                Ok(Some(message)) if is_present(&proposer, host, session) => {
+                    take(&proposer, host, message);
+                }
+                // An earlier session's messages may arrive late; their answers would go to the
+                // present one, where the same numbers mean other reports.
+                Ok(_) | Err(_) => break,
             },
             // Another term is another session, so that its orders carry another token.
             _ = role.changed() => break,
@@ -62,17 +66,21 @@
 }
 
 fn open(proposer: &proposer::Proposer, host: u32, sender: &stream::Sender<runner::Down>) -> u64 {
-    let mut runners = proposer.shared.runners.borrow_mut();
-    let session = runners.get(&host).map_or(1, |(session, _)| session + 1);
-    runners.insert(host, (session, sender.clone()));
+    let session = proposer.shared.next_session();
+    proposer.shared.runners.borrow_mut().insert(host, (session, sender.clone()));
     proposer.shared.with_dispatch(|dispatch, _, now| dispatch.connected(host, now));
     session
 }
 
+/// Whether no later session of the host's agent has opened.
+fn is_present(proposer: &proposer::Proposer, host: u32, session: u64) -> bool {
+    let runners = proposer.shared.runners.borrow();
+    runners.get(&host).is_some_and(|(present, _)| *present == session)
+}
+
 fn close(proposer: &proposer::Proposer, host: u32, session: u64) {
-    let mut runners = proposer.shared.runners.borrow_mut();
-    if runners.get(&host).is_some_and(|(current, _)| *current == session) {
-        runners.remove(&host);
+    if is_present(proposer, host, session) {
+        proposer.shared.runners.borrow_mut().remove(&host);
         proposer.shared.with_dispatch(|dispatch, _, _| dispatch.disconnected(host));
     }
 }
--- a/tests/testsuite/dispatch_world.rs
+++ b/tests/testsuite/dispatch_world.rs
@@ -50,8 +50,6 @@
     term: u64,
     up: VecDeque<(u64, dispatch_agent::Up)>,
     down: VecDeque<(u64, order::Order)>,
-    /// Whether the leader still reads it.
-    open: bool,
 }
 
 #[derive(Default)]
@@ -294,13 +292,12 @@
             return;
         }
         for number in 0..self.sessions.len() {
-            if self.sessions[number].term != self.term || !self.sessions[number].open {
-                continue;
-            }
             let host = self.sessions[number].host;
-            while self.sessions[number].up.front().is_some_and(|(at, _)| *at <= self.now) {
+            while self.runners.get(&host) == Some(&(number as u64))
+                && self.sessions[number].up.front().is_some_and(|(at, _)| *at <= self.now)
+            {
                 let Some((_, message)) = self.sessions[number].up.pop_front() else { break };
-                self.take(host, number as u64, message);
+                self.take(host, message);
             }
         }
         if self.now.is_multiple_of(100) {
@@ -312,7 +309,7 @@
         }
     }
 
-    fn take(&mut self, host: u32, number: u64, message: dispatch_agent::Up) {
+    fn take(&mut self, host: u32, message: dispatch_agent::Up) {
         let now = self.moment();
         let Some(lead) = &mut self.lead else { return };
         match message {
@@ -321,11 +318,8 @@
                 lead.closed(&self.book, host, life, &task, run, now);
             }
             dispatch_agent::Up::Left => {
-                self.sessions[number as usize].open = false;
-                if self.runners.get(&host) == Some(&number) {
-                    self.runners.remove(&host);
-                    lead.disconnected(host);
-                }
+                self.runners.remove(&host);
+                lead.disconnected(host);
             }
         }
         self.carry_out();
@@ -398,7 +392,7 @@
         }
         let number = self.sessions.len() as u64;
         let (up, down) = (VecDeque::new(), VecDeque::new());
-        self.sessions.push(Session { host: host as u32, term: self.term, up, down, open: true });
+        self.sessions.push(Session { host: host as u32, term: self.term, up, down });
         self.runners.insert(host as u32, number);
         self.hosts[host].agent.opened(number, self.term);
         let now = self.moment();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -50,6 +50,7 @@
 mod replica_cut;
 mod replica_support;
 mod runner;
+mod runner_session;
 mod settings;
 mod settings_examples;
 mod standin;
--- /dev/null
+++ b/tests/testsuite/runner_session.rs
@@ -0,0 +1,138 @@
+//! The leader's sessions with the agents beside workers of workflows, over sockets.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use futures_util::future;
+use hemlockcleat::control::dispatch_loop;
+use hemlockcleat::control::machine;
+use hemlockcleat::control::machine::Machine as _;
+use hemlockcleat::control::machine_state;
+use hemlockcleat::control::proposer;
+use hemlockcleat::control::runner_session;
+use hemlockcleat::core::dispatch::order;
+use hemlockcleat::core::ids;
+use hemlockcleat::net::stream;
+use hemlockcleat::wire::codec;
+use hemlockcleat::wire::runner;
+
+use crate::support;
+use crate::support::flow;
+
+/// How long a test waits for anything.
+const PATIENCE: time::Duration = time::Duration::from_secs(10);
+
+/// A log of one replica in memory that always leads and commits at once.
+struct Log {
+    machine: cell::RefCell<machine_state::LedgerMachine>,
+    index: cell::Cell<u64>,
+}
+
+type Reply<T> = future::LocalBoxFuture<'static, Result<T, machine::ProposeError>>;
+
+impl machine::Log for Log {
+    fn propose(&self, entry: Vec<u8>) -> Reply<Vec<u8>> {
+        self.index.set(self.index.get() + 1);
+        let index = ids::LogIndex(self.index.get());
+        Box::pin(future::ready(Ok(self.machine.borrow_mut().apply(index, &entry))))
+    }
+
+    fn barrier(&self) -> Reply<()> {
+        Box::pin(future::ready(Ok(())))
+    }
+
+    fn leads(&self) -> bool {
+        true
+    }
+
+    fn view(&self) -> machine::GroupView {
+        machine::GroupView {
+            role: machine::Role::Leader(ids::Term(1)),
+            term: ids::Term(1),
+            committed: ids::LogIndex(self.index.get()),
+            peers: Vec::new(),
+            candidates: Vec::new(),
+        }
+    }
+
+    fn replicas(&self) -> Vec<String> {
+        Vec::new()
+    }
+
+    fn reconfigure(&self, _: Vec<(ids::ReplicaKey, String)>) -> Reply<()> {
+        Box::pin(future::ready(Ok(())))
+    }
+
+    fn hand_over(&self) -> future::LocalBoxFuture<'static, ()> {
+        Box::pin(future::ready(()))
+    }
+}
+
+struct Sessions(proposer::Proposer);
+
+impl stream::Handler for Sessions {
+    fn handle(&self, incoming: stream::Incoming) -> future::LocalBoxFuture<'static, ()> {
+        Box::pin(runner_session::serve(self.0.clone(), 0, incoming))
+    }
+}
+
+type Agent = (stream::Sender<runner::Up>, stream::Receiver<runner::Down>);
+
+async fn received(agent: &mut Agent) -> Option<runner::Down> {
+    tokio::time::timeout(PATIENCE, agent.1.receive()).await.expect("a message, or the end")
+}
+
+fn report(sequence: u64) -> runner::Up {
+    runner::Up::Report(order::Report {
+        sequence,
+        worker: Some(flow::worker(1, 1)),
+        gone: None,
+        stays: None,
+        current: true,
+        running: Vec::new(),
+        finished: Vec::new(),
+    })
+}
+
+#[test]
+fn report_of_an_earlier_session_is_not_answered_in_the_present_one() {
+    support::run(async {
+        let shared = machine_state::Shared::new();
+        let mut machine = machine_state::LedgerMachine::new(shared.clone());
+        machine.role(machine::Role::Leader(ids::Term(1)));
+        let machine = cell::RefCell::new(machine);
+        let log = rc::Rc::new(Log { machine, index: cell::Cell::new(0) });
+        let proposer =
+            proposer::Proposer { replica: ids::ReplicaKey(1), voters: None, log, shared };
+        let dispatching = dispatch_loop::DispatchLoop::start(proposer.clone());
+        let addr = "127.0.0.1:0".parse().expect("an address");
+        let server =
+            stream::Server::bind(addr, 4, rc::Rc::new(Sessions(proposer))).await.expect("a server");
+        let mut agents = Vec::new();
+        let mut connections = Vec::new();
+        for _ in 0..2 {
+            let (sender, receiver, connection) =
+                stream::connect::<runner::Up, runner::Down>(server.addr(), "/runner")
+                    .await
+                    .expect("up");
+            sender.send(&runner::Up::Hello { version: codec::VERSION, cell: 0, host: 1 }).await;
+            let mut agent = (sender, receiver);
+            let welcome = received(&mut agent).await;
+            assert!(matches!(welcome, Some(runner::Down::Welcome { term: 1, .. })));
+            agents.push(agent);
+            connections.push(connection);
+        }
+        agents[0].0.send(&report(7)).await;
+        assert_eq!(received(&mut agents[0]).await, None, "the earlier session ends");
+        agents[1].0.send(&report(1)).await;
+        let answer = received(&mut agents[1]).await;
+        let Some(runner::Down::Order(order::Order::Grant { sequence, .. })) = answer else {
+            panic!("not a grant: {answer:?}");
+        };
+        assert_eq!(sequence, 1, "a grant of the same number would count from another report");
+        drop(connections);
+        dispatching.stop().await;
+        server.stop().await;
+    });
+}
