--- a/tests/testsuite/dispatch_floor.rs
+++ b/tests/testsuite/dispatch_floor.rs
@@ -117,6 +117,7 @@
             born: Some(self.life.born),
             running: running.collect(),
             finished: self.ends.iter().take(500).map(|end| end.entry.clone()).collect(),
+            partial: false,
         }
     }
 }
