Raise the token only for a life that has answered, and stop what outlives the lease

Beside a present worker, a life is now asked with the present token, and called with its own one once it has answered; only then is it taken over. When the lease is over, the agent stops what such a life still runs. An announcement that comes meanwhile no longer changes the way to call the life that is being asked.

--- a/src/runner/agent.rs
+++ b/src/runner/agent.rs
@@ -137,6 +137,8 @@
 /// The worker in the life that has answered last.
 struct Worker {
     said: order::Announced,
+    /// Whether it may hold runs that were ordered in the life before, beyond the present lease.
+    follows: bool,
     /// Whether it has said that it leaves for good; its process may still be there.
     left: bool,
     /// Until when it stays at least, where it says so.
@@ -277,14 +279,24 @@
     fn meet(&mut self, announced: Announced) {
         let life = announced.said.life;
         if let Some(known) = self.meeting.get_mut(&life) {
-            *known = announced;
+            // The newest word of the life; the way to call it is the one that is being tried.
+            (known.said, known.stays) = (announced.said, announced.stays);
             return;
         }
         if self.meeting.len() >= MEETINGS {
             return;
         }
         event::agent::WORKER_SEEN.log(format_args!("name={} life={life}", announced.said.name));
-        self.fence.call(life);
+        // A life that may never come must not use up the tokens of those that do. But a new agent
+        // does not know how high a token its worker has seen.
+        if self.worker.is_none() {
+            self.fence.call(life);
+        }
+        self.ask(announced);
+    }
+
+    fn ask(&mut self, announced: Announced) {
+        let life = announced.said.life;
         let fence = self.fence.clone();
         let asked = meet::meet(announced.backend.clone(), life, move || fence.token(), self.clock);
         self.meeting.insert(life, announced);
@@ -298,6 +310,12 @@
             self.unmet = Some(announced);
             return;
         };
+        if met.asked.fence < self.fence.token_of(life) {
+            // Only a call with a token of its own shuts out those for the life before.
+            self.fence.call(life);
+            self.ask(announced);
+            return;
+        }
         let known = self.worker.as_ref().map(|worker| worker.said.life);
         if self.gone.max(known).is_some_and(|latest| latest >= life) {
             return;
@@ -313,6 +331,7 @@
         self.hold.clock(met.listing.clock, self.clock.tick());
         self.worker = Some(Worker {
             said: announced.said,
+            follows: known.is_some(),
             left: false,
             stays: announced.stays,
             backend: announced.backend,
@@ -624,6 +643,9 @@
         if self.asked.is_some_and(|asked| asked + SILENCE < now) {
             self.closed("silent");
         }
+        if !self.hold.is_valid(now) {
+            self.stop_inherited();
+        }
         if self.reported + REPORT <= now {
             self.report();
         }
@@ -633,6 +655,21 @@
     }
 }
 
+impl Agent {
+    /// Stops what a life holds of the one before once the lease is over: its deadline is on the
+    /// clock of that life, and may lie far ahead.
+    fn stop_inherited(&mut self) {
+        let Some(worker) = self.worker.as_mut().filter(|worker| worker.follows) else { return };
+        worker.follows = false;
+        let life = worker.said.life;
+        let listed = worker.listing.iter().flat_map(|(listing, _)| &listing.running);
+        let runs: Vec<_> = listed.map(|entry| (entry.task.clone(), entry.run)).collect();
+        for (task, run) in runs {
+            self.stop(life, task, run);
+        }
+    }
+}
+
 async fn next_message(session: &mut Option<Session>) -> Option<wire::Down> {
     match session {
         Some(session) => session.receiver.receive().await,
--- a/tests/testsuite/support/worker.rs
+++ b/tests/testsuite/support/worker.rs
@@ -170,6 +170,12 @@
         self.finished.borrow().len()
     }
 
+    /// Whether one of the ends that wait is that of a run that was stopped.
+    pub fn has_stopped(&self) -> bool {
+        self.advance();
+        self.finished.borrow().iter().any(|end| end.how == model::How::Stopped)
+    }
+
     /// Starts that are kept to be carried out later.
     pub fn kept_starts(&self) -> usize {
         self.kept.borrow().iter().filter(|kept| matches!(kept, Kept::Start(_))).count()
--- a/tests/testsuite/workflow.rs
+++ b/tests/testsuite/workflow.rs
@@ -141,7 +141,7 @@
     }
 
     /// Stops the replica that leads and returns its position.
-    async fn stop_leader(&mut self) -> usize {
+    pub async fn stop_leader(&mut self) -> usize {
         let leads = |replica: &Option<control::Control>| {
             replica.as_ref().is_some_and(control::Control::leads)
         };
@@ -157,7 +157,7 @@
         position
     }
 
-    async fn start_replica(&mut self, position: usize) {
+    pub async fn start_replica(&mut self, position: usize) {
         let settings = self.settings[position].clone();
         self.replicas[position] = Some(control::Control::start(settings).await.expect("starts"));
     }
--- a/tests/testsuite/workflow_lives.rs
+++ b/tests/testsuite/workflow_lives.rs
@@ -97,6 +97,57 @@
     });
 }
 
+/// Another writer announces a life later than the one that comes.
+#[test]
+fn start_for_an_earlier_life_does_not_run_after_a_stray_announcement() {
+    support::run(async {
+        let site = two_workers().await;
+        let first = site.workers[0].clone();
+        let life = model::Life { born: REBORN + 60_000, ..site.said(0).life };
+        let said = order::Announced { life, ..site.said(0) };
+        let backend = rc::Rc::new(Nobody);
+        site.runners[0].beat(agent::Beat { said: Some(said), stays: None, life, backend }).await;
+        first.keeps.set(true);
+        site.submit(1, "aa", flow::step(1, 1)).await;
+        workflow::until(|| first.kept_starts() > 0).await;
+        first.keeps.set(false);
+        workflow::until(|| first.is_busy()).await;
+        first.restart(REBORN);
+        announce(&site, 0, true).await;
+        announce(&site, 1, false).await;
+        workflow::until(|| site.workers[1].is_busy()).await;
+        first.carry_out();
+        assert_eq!(site.ended(1, "aa").await, job::Phase::Completed);
+        site.stop().await;
+    });
+}
+
+/// Nobody leads when the next life takes the start; its deadline is one of the life before.
+#[test]
+fn run_of_an_earlier_life_is_stopped_when_the_lease_is_over() {
+    support::run(async {
+        let mut site = two_workers().await;
+        let first = site.workers[0].clone();
+        first.keeps.set(true);
+        site.submit(1, "aa", flow::step(1, 1)).await;
+        workflow::until(|| first.kept_starts() > 0).await;
+        first.work.set(LONG * 10);
+        let stopped = site.stop_leader().await;
+        first.restart(REBORN);
+        first.carry_out();
+        assert!(first.is_busy());
+        first.keeps.set(false);
+        announce(&site, 0, true).await;
+        workflow::until(|| !first.is_busy()).await;
+        assert!(first.has_stopped());
+        first.work.set(LONG);
+        site.start_replica(stopped).await;
+        announce(&site, 1, false).await;
+        assert_eq!(site.ended(1, "aa").await, job::Phase::Completed);
+        site.stop().await;
+    });
+}
+
 #[test]
 fn run_that_the_next_life_has_begun_is_not_placed_again() {
     support::run(async {
