Count that an earlier life's order may hold the next one for longer

A hold for the life before, carried out in the next one before that is met, has its deadline on the old clock, far ahead on the new one: the worker keeps it as long as it lets itself be held at all. The leader counted its own lease, and would have placed tasks elsewhere while they ran on there.

A life that comes under the name of the one before counts from its first list as held for the longest span that a worker takes (max_hold_ms, from the platform's settings; by default the lease). Workers that come back with another name are not affected: they refuse such calls.

--- a/src/control/machine_state.rs
+++ b/src/control/machine_state.rs
@@ -11,6 +11,7 @@
 use crate::control::lead;
 use crate::control::machine;
 use crate::core::dispatch;
+use crate::core::dispatch::fleet;
 use crate::core::dispatch::record;
 use crate::core::ids;
 use crate::core::ledger::command;
@@ -50,8 +51,8 @@
     pub runners: cell::RefCell<BTreeMap<u32, (u64, stream::Sender<runner::Down>)>>,
     /// The last session of an agent of workflows; numbers never repeat within a process.
     sessions: cell::Cell<u64>,
-    /// How long an agent of workflows may hold its worker after a report.
-    pub lease: time::Millis,
+    /// How long workers of workflows may be held.
+    pub spans: fleet::Spans,
     /// The revision of the configuration in force here.
     pub revision: watch::Sender<ids::Revision>,
     /// The role of this replica; changes with each term it sees led.
@@ -62,11 +63,11 @@
 impl Shared {
     /// The state of a process that has applied nothing.
     pub fn new() -> rc::Rc<Self> {
-        Self::with_lease(dispatch::LEASE)
+        Self::with_spans(dispatch::LEASE)
     }
 
     /// Like [`Shared::new`], with another span for which agents may hold their workers.
-    pub fn with_lease(lease: time::Millis) -> rc::Rc<Self> {
+    pub fn with_spans(spans: impl Into<fleet::Spans>) -> rc::Rc<Self> {
         rc::Rc::new(Self {
             clock: clock::Clock::start(),
             ledger: cell::RefCell::default(),
@@ -78,7 +79,7 @@
             dispatch_wake: tokio::sync::Notify::new(),
             runners: cell::RefCell::default(),
             sessions: cell::Cell::default(),
-            lease,
+            spans: spans.into(),
             revision: watch::Sender::new(ids::Revision(0)),
             role: watch::Sender::new(machine::Role::Follower { leader: None }),
             waiters: cell::RefCell::default(),
@@ -265,7 +266,7 @@
         let dispatch = lead.is_some().then(|| {
             let book = &self.shared.ledger.borrow().workflows;
             let health = self.shared.record.borrow().health().clone();
-            dispatch::Dispatch::new(book, health, self.shared.lease, self.shared.moment())
+            dispatch::Dispatch::new(book, health, self.shared.spans, self.shared.moment())
         });
         *self.shared.lead.borrow_mut() = lead;
         *self.shared.dispatch.borrow_mut() = dispatch;
--- a/src/core/dispatch/fleet.rs
+++ b/src/core/dispatch/fleet.rs
@@ -7,6 +7,7 @@
 use crate::core::dispatch::order::Room;
 use crate::core::time;
 use crate::core::workflow::model;
+use crate::macros;
 
 /// How much longer than its lease a worker may run by a clock that is 2% slow, in thousandths,
 /// with as much again to spare.
@@ -18,6 +19,23 @@
 /// How long a worker gets no new task after it refused one.
 const REFUSED_PAUSE: time::Millis = time::Millis(300);
 
+macros::small! {
+    /// How long workers may be held.
+    pub struct Spans {
+        /// By their agents, after a report.
+        pub lease: time::Millis,
+        /// By any order, however late it is carried out: a worker shortens a longer one.
+        pub longest: time::Millis,
+    }
+}
+
+impl From<time::Millis> for Spans {
+    /// No order holds a worker for longer than the lease.
+    fn from(lease: time::Millis) -> Self {
+        Self { lease, longest: lease }
+    }
+}
+
 /// One worker, by the host of its agent.
 #[derive(Debug)]
 pub struct Worker {
@@ -66,9 +84,14 @@
         }
     }
 
-    /// Begins another life with what the worker says of itself.
-    pub fn reborn(&mut self, said: &order::Announced) {
-        let until = self.until;
+    /// Begins another life with what the worker says of itself. Under the name of the life before,
+    /// an order for that one may hold it for `longest` from now.
+    pub fn reborn(&mut self, said: &order::Announced, now: time::Tick, longest: time::Millis) {
+        let renamed = self.said.as_ref().is_some_and(|before| before.name != said.name);
+        let until = match self.life {
+            Some(_) if !renamed => self.until.max(end_of_lease(now, longest)),
+            _ => self.until,
+        };
         *self = Self { connected: self.connected, ..Self::inherited(Some(said.life), until) };
     }
 
--- a/src/core/dispatch/lead.rs
+++ b/src/core/dispatch/lead.rs
@@ -32,8 +32,7 @@
 
 /// What the leader of a term knows and has ordered.
 pub struct Dispatch {
-    /// How long an agent may hold its worker after a report.
-    pub(super) lease: time::Millis,
+    pub(super) spans: fleet::Spans,
     pub(super) workers: BTreeMap<u32, fleet::Worker>,
     pub(super) runs: runs::Runs,
     pub(super) health: health::Health,
@@ -50,11 +49,11 @@
     pub fn new(
         book: &book::Book,
         health: health::Health,
-        lease: time::Millis,
+        spans: impl Into<fleet::Spans>,
         now: Moment,
     ) -> Self {
         let mut dispatch = Self {
-            lease,
+            spans: spans.into(),
             workers: BTreeMap::new(),
             runs: BTreeMap::new(),
             health,
@@ -91,7 +90,7 @@
     }
 
     fn adopt(&mut self, job: &job::Job, key: model::RunKey, life: model::Life, now: Moment) {
-        let until = fleet::end_of_lease(now.tick, self.lease);
+        let until = fleet::end_of_lease(now.tick, self.spans.lease);
         let worker = self
             .workers
             .entry(life.host)
@@ -107,7 +106,7 @@
 
     /// An agent has opened a session.
     pub fn connected(&mut self, host: u32, now: Moment) {
-        let until = fleet::end_of_lease(now.tick, self.lease);
+        let until = fleet::end_of_lease(now.tick, self.spans.lease);
         let unknown = || fleet::Worker::inherited(None, until);
         let worker = self.workers.entry(host).or_insert_with(unknown);
         worker.connected = true;
--- a/src/core/dispatch/report.rs
+++ b/src/core/dispatch/report.rs
@@ -43,7 +43,7 @@
             return;
         }
         if report.current {
-            self.follow(book, &said, &report);
+            self.follow(book, &said, &report, now);
         }
         let Some(worker) = self.workers.get_mut(&host) else { return };
         let life = said.life;
@@ -53,8 +53,8 @@
         if !report.current {
             return;
         }
-        worker.granted(now.tick, self.lease);
-        let grant = order::Order::Grant { sequence: report.sequence, length: self.lease.0 };
+        worker.granted(now.tick, self.spans.lease);
+        let grant = order::Order::Grant { sequence: report.sequence, length: self.spans.lease.0 };
         self.effects.push(order::Effect::Order(host, grant));
         let mut listed = BTreeSet::new();
         self.running(book, host, life, report.running, &mut listed, now);
@@ -65,7 +65,13 @@
 
     /// Ends what ran in earlier lives of a worker, and goes on with what the present one lists: a
     /// start that was sent to an earlier life may have been carried out in this one.
-    fn follow(&mut self, book: &book::Book, said: &order::Announced, report: &order::Report) {
+    fn follow(
+        &mut self,
+        book: &book::Book,
+        said: &order::Announced,
+        report: &order::Report,
+        now: Moment,
+    ) {
         let life = said.life;
         let Some(worker) = self.workers.get_mut(&life.host) else { return };
         let earlier = |key| self.runs.get(key).is_some_and(|run| run.life != life);
@@ -75,7 +81,7 @@
         let before = worker.life.filter(|before| *before != life);
         let taken = std::mem::take(&mut worker.taken);
         if worker.life != Some(life) {
-            worker.reborn(said);
+            worker.reborn(said, now.tick, self.spans.longest);
         }
         let running = report.running.iter().map(|entry| (&entry.task, entry.run));
         let finished = report.finished.iter().map(|entry| (&entry.task, entry.run));
--- a/src/ops/local.rs
+++ b/src/ops/local.rs
@@ -138,6 +138,7 @@
         advertise: None,
         http: loopback(),
         hold_ms: None,
+        max_hold_ms: None,
         voters: None,
         seeds: Vec::new(),
         peers: peers.to_vec(),
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -5,6 +5,7 @@
 use std::path;
 
 use crate::core::dispatch;
+use crate::core::dispatch::fleet;
 use crate::core::time;
 use crate::settings;
 use crate::settings::check;
@@ -39,6 +40,10 @@
     /// How long the agent of a worker of workflows may hold it after a report, in milliseconds.
     #[serde(default)]
     pub hold_ms: Option<u64>,
+    /// The longest time for which such a worker lets itself be held by any order, in milliseconds;
+    /// without it, as long as its agent may hold it.
+    #[serde(default)]
+    pub max_hold_ms: Option<u64>,
     /// How many voters the group keeps itself at, by new stores and candidates; without it, only
     /// tickets change the group.
     #[serde(default)]
@@ -76,9 +81,11 @@
 }
 
 impl Settings {
-    /// How long the agent of a worker of workflows may hold it after a report.
-    pub fn hold(&self) -> time::Millis {
-        self.hold_ms.map_or(dispatch::LEASE, time::Millis)
+    /// How long workers of workflows may be held.
+    pub fn spans(&self) -> fleet::Spans {
+        let lease = self.hold_ms.map_or(dispatch::LEASE, time::Millis);
+        let longest = self.max_hold_ms.map_or(lease, time::Millis).max(lease);
+        fleet::Spans { lease, longest }
     }
 
     fn check_peers(&self) -> Result<(), settings::Error> {
--- a/tests/testsuite/dispatch_lives.rs
+++ b/tests/testsuite/dispatch_lives.rs
@@ -1,5 +1,9 @@
 //! What becomes of runs when their worker begins another life, replayed without sockets.
 
+use hemlockcleat::core::dispatch;
+use hemlockcleat::core::dispatch::fleet;
+use hemlockcleat::core::dispatch::health;
+use hemlockcleat::core::time;
 use hemlockcleat::core::workflow::model;
 
 use crate::support::flow;
@@ -88,3 +92,31 @@
     world.report(flow::worker(0, 2), &[], &[done]);
     assert_eq!(world.book.open().count(), 1);
 }
+
+/// A hold that was sent to the life before may be carried out in the next one, whose clock began
+/// anew: it then ends as late as the worker allows.
+#[test]
+fn next_life_may_be_held_for_longer_than_its_lease() {
+    let mut world = flow::World::default();
+    let longest = time::Millis(15_000);
+    let spans = fleet::Spans { lease: time::Millis(flow::LEASE), longest };
+    let now = flow::moment(0);
+    world.dispatch = dispatch::Dispatch::new(&world.book, health::Health::default(), spans, now);
+    world.connect(0);
+    world.report(flow::worker(0, 1), &[], &[]);
+    world.report(flow::worker(0, 2), &[], &[]);
+    world.submit(1, "aa", vec![flow::step(1, 8)]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), [(0, name("aa"), 1)]);
+    world.connect(1);
+    let last = 15;
+    for second in 1..=last {
+        world.tick(1000);
+        world.report(flow::worker(1, 1), &[], &[]);
+        assert_eq!(world.take_starts(), [], "after {second} s");
+    }
+    world.tick(1000);
+    world.report(flow::worker(1, 1), &[], &[]);
+    world.tick(1);
+    assert_eq!(world.take_starts(), [(1, name("aa"), 2)]);
+}
