Give lives and looks of an agent files of their own

Which life is the present one (agent::life) and what the worker's lists say (agent::look) stand beside the loop now.

--- a/src/runner/agent.rs
+++ b/src/runner/agent/mod.rs
@@ -1,4 +1,6 @@
 //! The loop between the worker and the leader.
+//!
+//! `life` decides which life of the worker is the present one; `look` asks it after its runs.
 
 use std::cell;
 use std::collections::BTreeMap;
@@ -28,34 +30,24 @@
 use crate::wire::codec;
 use crate::wire::runner as wire;
 
+mod life;
+mod look;
+
 /// How often the leader hears of the worker when nothing changes.
 const REPORT: core_time::Millis = core_time::Millis(500);
 
 /// How long a look at the worker waits for news, in milliseconds.
 const LOOK_WAIT: u64 = 500;
 
-/// How long a worker may take to answer a look beyond the time that it waits.
-const LOOK_SLACK: time::Duration = time::Duration::from_millis(700);
-
-/// The pause before the next look while ends are not durable yet, or after a look that failed.
-const LOOK_PAUSE: time::Duration = time::Duration::from_millis(150);
-
 /// How old the worker's lists may be in a report.
 const CURRENT: core_time::Millis = core_time::Millis(2000);
 
-/// How long after a stop was answered the run has certainly ended, also where the lists can't tell:
-/// a stop takes 400 ms.
-const STOPPED: core_time::Millis = core_time::Millis(3000);
-
 /// How long the leader may leave a report unanswered.
 const SILENCE: core_time::Millis = core_time::Millis(1500);
 
 /// The pause between two searches for a leader.
 const SEEK_PAUSE: time::Duration = time::Duration::from_millis(100);
 
-/// The most lives that are asked at once whether they are there.
-const MEETINGS: usize = 4;
-
 /// How the loop's timer runs when nothing else happens.
 const TICK: time::Duration = time::Duration::from_millis(250);
 
@@ -239,122 +231,6 @@
         }
     }
 
-    /// Takes what the worker says of itself.
-    fn beat(&mut self, beat: Beat) {
-        let known = self.worker.as_ref().map(|worker| worker.said.life);
-        if self.gone.max(known).is_some_and(|latest| latest > beat.life) {
-            // A message of an earlier life that was late.
-            return;
-        }
-        let present = self.worker.as_mut().filter(|worker| worker.said.life == beat.life);
-        let Some(said) = beat.said else {
-            self.meeting.remove(&beat.life);
-            if let Some(worker) = present {
-                worker.said.draining = true;
-                worker.left = true;
-                self.report();
-                self.look(0);
-            }
-            return;
-        };
-        if self.gone == Some(beat.life) {
-            return;
-        }
-        let stays = beat.stays.map(|stays| self.clock.tick() + stays);
-        match present {
-            Some(worker) => {
-                let news = worker.said != said;
-                worker.said = said;
-                worker.said.draining |= worker.left;
-                worker.stays = stays;
-                if news {
-                    self.report();
-                }
-            }
-            None => self.meet(Announced { said, stays, backend: beat.backend }),
-        }
-    }
-
-    /// Asks a life that was announced whether it is there.
-    fn meet(&mut self, announced: Announced) {
-        let life = announced.said.life;
-        if let Some(known) = self.meeting.get_mut(&life) {
-            // The newest word of the life; the way to call it is the one that is being tried.
-            (known.said, known.stays) = (announced.said, announced.stays);
-            return;
-        }
-        if self.meeting.len() >= MEETINGS {
-            return;
-        }
-        event::agent::WORKER_SEEN.log(format_args!("name={} life={life}", announced.said.name));
-        // A life that may never come must not use up the tokens of those that do. But a new agent
-        // does not know how high a token its worker has seen.
-        if self.worker.is_none() {
-            self.fence.call(life);
-        }
-        self.ask(announced);
-    }
-
-    fn ask(&mut self, announced: Announced) {
-        let life = announced.said.life;
-        let fence = self.fence.clone();
-        let asked = meet::meet(announced.backend.clone(), life, move || fence.token(), self.clock);
-        self.meeting.insert(life, announced);
-        self.calls.push(Box::pin(async move { Done::Met(life, asked.await) }));
-    }
-
-    /// Takes over a life that has answered; whatever was before it is over.
-    fn met(&mut self, life: model::Life, met: Option<meet::Met>) {
-        let Some(announced) = self.meeting.remove(&life) else { return };
-        let Some(met) = met else {
-            self.unmet = Some(announced);
-            return;
-        };
-        if met.asked.fence < self.fence.token_of(life) {
-            // Only a call with a token of its own shuts out those for the life before.
-            self.fence.call(life);
-            self.ask(announced);
-            return;
-        }
-        let known = self.worker.as_ref().map(|worker| worker.said.life);
-        if self.gone.max(known).is_some_and(|latest| latest >= life) {
-            return;
-        }
-        event::agent::WORKER_ANSWERS.log(format_args!(
-            "life={life} clock={} running={} ended={}",
-            met.listing.clock,
-            met.listing.running.len(),
-            met.listing.finished.len()
-        ));
-        self.least = self.least.max(self.fence.token_of(life));
-        self.hold.reborn();
-        self.hold.clock(met.listing.clock, self.clock.tick());
-        self.worker = Some(Worker {
-            said: announced.said,
-            follows: known.is_some(),
-            left: false,
-            stays: announced.stays,
-            backend: announced.backend,
-            seen: 0,
-            listing: Some((met.listing, met.asked)),
-            heard: self.clock.tick(),
-            closing: BTreeMap::new(),
-            busy: BTreeSet::new(),
-            alive: rc::Rc::new(()),
-        });
-        self.report();
-        self.look(0);
-    }
-
-    /// The worker is gone for good.
-    fn part(&mut self, life: model::Life) {
-        event::agent::WORKER_LEFT.log(format_args!("life={life}"));
-        self.gone = Some(life);
-        self.worker = None;
-        self.hold.reborn();
-        self.report();
-    }
-
     fn opened(&mut self, found: Option<Session>) {
         let Some(found) = found else { return };
         let wire::Down::Welcome { term, .. } = &found.greeting else { return };
@@ -489,120 +365,6 @@
         }
     }
 
-    /// Asks the worker after its runs, and extends its lease.
-    fn look(&mut self, wait: u64) {
-        let (until, fence) = (self.hold.until(), self.fence.token());
-        let valid = self.hold.is_valid(self.clock.tick());
-        let Some(worker) = &self.worker else { return };
-        let until = until.filter(|_| valid);
-        let look = backend::Look { fence, until, seen: worker.unforgotten(), wait };
-        let life = worker.said.life;
-        let asked = meet::Asked { at: self.clock.tick(), fence };
-        let limit = time::Duration::from_millis(wait) + LOOK_SLACK;
-        let answer = tokio::time::timeout(limit, worker.backend.look(look));
-        self.looks += 1;
-        self.calls.push(Box::pin(async move {
-            let silent = |_| Err(backend::Unlisted::Unanswered("no answer".to_owned()));
-            Done::Look(life, asked, answer.await.unwrap_or_else(silent))
-        }));
-    }
-
-    fn looked(
-        &mut self,
-        life: model::Life,
-        asked: meet::Asked,
-        answer: Result<backend::Listing, backend::Unlisted>,
-    ) {
-        let now = self.clock.tick();
-        let mut failed = true;
-        let mut found = None;
-        if let Some(worker) = self.worker.as_mut().filter(|worker| worker.said.life == life) {
-            match answer {
-                Ok(listing) if listing.born.is_some_and(|born| born != life.born) => {
-                    event::agent::WORKER_SILENT.log(format_args!("life={life} another life"));
-                    // It is not placed on before it has announced what it is itself.
-                    let born = listing.born.unwrap_or(life.born);
-                    let next = model::Life { born, ..life };
-                    let said =
-                        order::Announced { life: next, draining: true, ..worker.said.clone() };
-                    let backend = worker.backend.clone();
-                    found = Some(Announced { said, stays: None, backend });
-                }
-                Ok(listing) => {
-                    failed = false;
-                    let newest = worker.listing.as_ref().map_or(0, |(held, _)| held.clock);
-                    // Answers may overtake one another; one to a later question is newer, whatever
-                    // clock came with the other.
-                    if listing.clock >= newest || asked.at > worker.heard {
-                        worker.heard = now;
-                        self.hold.clock(listing.clock, now);
-                        self.take_listing(listing, asked);
-                    }
-                }
-                // Its word alone does not prove that it is gone, nor does this alone.
-                Err(backend::Unlisted::Nobody(_)) if worker.left => self.part(life),
-                Err(error) => {
-                    event::agent::WORKER_SILENT.log(format_args!("life={life} error={error}"));
-                }
-            }
-        }
-        if let Some(next) = found.filter(|next| next.said.life > life) {
-            self.meet(next);
-        }
-        let open = self.worker.as_ref().and_then(|worker| worker.listing.as_ref());
-        let open = open.is_some_and(|(listing, _)| !listing.finished.is_empty());
-        self.looks -= 1;
-        if self.looks > 0 {
-            return;
-        }
-        if failed || open {
-            self.looks += 1;
-            self.calls.push(Box::pin(async {
-                tokio::time::sleep(LOOK_PAUSE).await;
-                Done::Pause
-            }));
-        } else {
-            self.look(LOOK_WAIT);
-        }
-    }
-
-    fn take_listing(&mut self, listing: backend::Listing, asked: meet::Asked) {
-        let Some(worker) = &mut self.worker else { return };
-        let names = |listing: &backend::Listing| -> BTreeSet<RunName> {
-            listing.running.iter().map(|entry| (entry.task.clone(), entry.run)).collect()
-        };
-        let running = names(&listing);
-        let before = worker.listing.as_ref().map(|(held, _)| names(held));
-        let news = before.as_ref() != Some(&running) || !listing.finished.is_empty();
-        let mut listed = running;
-        listed.extend(listing.finished.iter().map(|entry| (entry.task.clone(), entry.run)));
-        // What a row says that can't be read may be any run.
-        let grace = if listing.partial { STOPPED } else { core_time::Millis(0) };
-        let mut closed = Vec::new();
-        worker.closing.retain(|name, answered| {
-            if *answered > asked.at {
-                return true;
-            }
-            // A run that is still going on is ordered to stop again by the leader.
-            if listed.contains(name) {
-                return false;
-            }
-            if *answered + grace > asked.at {
-                return true;
-            }
-            closed.push(name.clone());
-            false
-        });
-        let life = worker.said.life;
-        worker.listing = Some((listing, asked));
-        if news {
-            self.report();
-        }
-        for (task, run) in closed {
-            self.send(wire::Up::Closed { life, task, run });
-        }
-    }
-
     /// Tells the leader how the worker stands.
     fn report(&mut self) {
         if self.session.is_none() {
@@ -655,21 +417,6 @@
     }
 }
 
-impl Agent {
-    /// Stops what a life holds of the one before once the lease is over: its deadline is on the
-    /// clock of that life, and may lie far ahead.
-    fn stop_inherited(&mut self) {
-        let Some(worker) = self.worker.as_mut().filter(|worker| worker.follows) else { return };
-        worker.follows = false;
-        let life = worker.said.life;
-        let listed = worker.listing.iter().flat_map(|(listing, _)| &listing.running);
-        let runs: Vec<_> = listed.map(|entry| (entry.task.clone(), entry.run)).collect();
-        for (task, run) in runs {
-            self.stop(life, task, run);
-        }
-    }
-}
-
 async fn next_message(session: &mut Option<Session>) -> Option<wire::Down> {
     match session {
         Some(session) => session.receiver.receive().await,
