Pass over the queue only after changes, with sums kept up to date

Cause: the leader's processor. Each report of an agent, some 500 a second, ran a whole pass, and a pass built the list of workers anew for each waiting step, with a copy of every rack's name, added up all allocations of a worker each time, and walked all runs for each urgent step and each rack.

Change: a pass runs after a change that may let a step start, and every 100 ms; reports of progress alone cause none. Passes are spaced by four times what the last one took. Workers, free accelerators and runs to preempt are collected once a pass; racks are keys; allocations keep their sum; gangs that can't fit are told by counting.

--- a/src/control/dispatch_loop.rs
+++ b/src/control/dispatch_loop.rs
@@ -16,8 +16,12 @@
 use crate::telemetry::metrics as names;
 use crate::wire::runner;
 
-/// Longest time between two runs of the dispatcher, which also runs at each change.
-const MAX_TICK_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Time between two ticks of the dispatcher, which also decides after each change.
+const TICK_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// The least time between two passes after changes, as a multiple of the time that the last one
+/// took. Under a burst of changes, passes leave most of the processor to reports and calls.
+const PASS_SPACING: u32 = 4;
 
 type Pending = futures_stream::FuturesUnordered<future::LocalBoxFuture<'static, ()>>;
 
@@ -47,14 +51,22 @@
     let shared = proposer.shared.clone();
     let mut pending = Pending::new();
     let mut role = shared.role.subscribe();
+    let mut ticks = tokio::time::interval(TICK_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut next_pass = tokio::time::Instant::now();
     loop {
         let leads = shared.dispatch.borrow().is_some();
+        // A replica without the leader lease decides nothing, however much has changed.
+        let changed = proposer.log.leads()
+            && shared.dispatch.borrow().as_ref().is_some_and(dispatch::Dispatch::is_changed);
+        let mut is_tick = false;
         tokio::select! {
             _ = &mut stopped => return,
+            _ = ticks.tick(), if leads => is_tick = true,
+            () = tokio::time::sleep_until(next_pass), if changed => {}
             () = shared.dispatch_wake.notified() => {}
             Some(()) = pending.next(), if !pending.is_empty() => {}
             _ = role.changed() => {}
-            () = tokio::time::sleep(MAX_TICK_INTERVAL), if leads => {}
         }
         if !proposer.log.leads() {
             continue;
@@ -63,9 +75,17 @@
         let now = shared.dispatch_now();
         let mut dispatch = shared.dispatch.borrow_mut();
         let Some(dispatch) = dispatch.as_mut() else { continue };
-        let started = time::Instant::now();
-        dispatch.tick(&shared.ledger.borrow().workflows, now);
-        names::observe(names::DECISION_SECONDS, started.elapsed());
+        let started = tokio::time::Instant::now();
+        if is_tick || (dispatch.is_changed() && next_pass <= started) {
+            let registry = &shared.ledger.borrow().workflows;
+            match is_tick {
+                true => dispatch.tick(registry, now),
+                false => dispatch.decide(registry, now),
+            }
+            let took = started.elapsed();
+            names::observe(names::DECISION_SECONDS, took);
+            next_pass = started + took * PASS_SPACING;
+        }
         for effect in dispatch.take_effects() {
             perform(&proposer, dispatch, effect, &mut pending);
         }
--- a/src/core/dispatch/fit.rs
+++ b/src/core/dispatch/fit.rs
@@ -11,7 +11,6 @@
 //! - Data on one rack: its workers are used first, others once the step has waited long enough.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use crate::core::dispatch::fleet;
 use crate::core::dispatch::health;
@@ -27,14 +26,14 @@
 const MAX_LOCALITY_WAIT: time::Millis = time::Millis(15_000);
 
 /// A worker that may take tasks of a step.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Candidate {
     /// The host of the worker's agent.
     pub host: u32,
     /// The incarnation of the worker.
     pub incarnation: model::Incarnation,
     /// The rack of the worker.
-    pub rack: String,
+    pub rack: fleet::RackKey,
     /// The resources that are neither occupied nor reserved for others.
     pub free: Resources,
     /// The full capacity of the worker.
@@ -50,6 +49,16 @@
 }
 
 impl Candidate {
+    /// Returns how many tasks of the same need fit into an amount of resources of the worker.
+    fn tasks_within(&self, resources: Resources, need: Resources) -> usize {
+        let part = |have: u32, need: u32| have.checked_div(need).unwrap_or(u32::MAX);
+        let tasks = part(resources.cpu, need.cpu)
+            .min(part(resources.memory, need.memory))
+            .min(part(resources.accelerators, need.accelerators))
+            .min(self.limit_left);
+        tasks as usize
+    }
+
     /// Subtracts the resources of one task of the step.
     pub fn allocate(&mut self, resources: Resources) {
         self.free = self.free.saturating_sub(resources);
@@ -57,6 +66,21 @@
     }
 }
 
+/// A rack that a step prefers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rack {
+    /// A rack with workers.
+    Known(fleet::RackKey),
+    /// A rack that no worker has announced.
+    Unknown,
+}
+
+impl Rack {
+    fn holds(self, candidate: &Candidate) -> bool {
+        self == Self::Known(candidate.rack)
+    }
+}
+
 /// Resources that are reserved for a step, by host.
 pub type Reserved = BTreeMap<u32, Resources>;
 
@@ -65,6 +89,8 @@
 pub struct Demand<'a> {
     /// The step.
     pub step: &'a model::Step,
+    /// The rack with the step's data; `None` if it prefers no rack.
+    pub data: Option<Rack>,
     /// The pool that runs the step.
     pub pool: &'a str,
     /// Whether the job is urgent.
@@ -94,51 +120,82 @@
     }
 }
 
-/// Returns the workers of a pool that accept tasks and satisfy the constraint of the step.
-pub fn candidates(
+/// Returns the workers of a pool that accept tasks, with all that they have free.
+pub fn open_workers(
     workers: &BTreeMap<u32, fleet::Worker>,
     health: &health::Health,
-    demand: Demand<'_>,
-    reserved: &Reserved,
+    pool: &str,
     now: order::Timestamp,
 ) -> Vec<Candidate> {
-    let mut candidates = Vec::new();
     let slow = health.slow_threshold();
+    let mut open = Vec::new();
     for (host, worker) in workers {
         let Some(announcement) = &worker.announcement else { continue };
-        let constraint = demand.step.constraint.as_ref();
-        let labelled = constraint.is_none_or(|label| announcement.labels.contains(label));
-        let open = worker.accepts_tasks(now.tick) && health.accepts_tasks(*host, now.tick);
-        if announcement.pool != demand.pool || !labelled || !open {
+        let accepts = worker.accepts_tasks(now.tick) && health.accepts_tasks(*host, now.tick);
+        if announcement.pool != pool || !accepts {
             continue;
         }
-        let reserved = reserved.get(host).copied().unwrap_or_default();
         let speed = health.speed(*host);
-        candidates.push(Candidate {
+        open.push(Candidate {
             host: *host,
             incarnation: announcement.incarnation,
-            rack: announcement.rack.clone(),
-            free: worker.free().saturating_sub(reserved),
+            rack: worker.rack,
+            free: worker.free(),
             capacity: announcement.capacity,
-            limit_left: if demand.step.worker_limit == 0 {
-                u32::MAX
-            } else {
-                demand.step.worker_limit
-            },
+            limit_left: u32::MAX,
             slow: speed < slow,
             speed: (speed * 100.0) as u32,
             suspect: health.is_suspect(*host),
         });
     }
+    open
+}
+
+/// Returns the open workers that satisfy the constraint of a step, less what is reserved for
+/// others. `open` is sorted by host.
+pub fn candidates<'a>(
+    open: &[Candidate],
+    workers: &BTreeMap<u32, fleet::Worker>,
+    step: &model::Step,
+    reserved: impl Iterator<Item = &'a Reserved>,
+) -> Vec<Candidate> {
+    let mut candidates = open.to_vec();
+    for (host, resources) in reserved.flatten() {
+        if let Ok(index) = candidates.binary_search_by_key(host, |candidate| candidate.host) {
+            candidates[index].free = candidates[index].free.saturating_sub(*resources);
+        }
+    }
+    if let Some(label) = &step.constraint {
+        candidates.retain(|candidate| {
+            let worker = workers.get(&candidate.host);
+            let announcement = worker.and_then(|worker| worker.announcement.as_ref());
+            announcement.is_some_and(|announcement| announcement.labels.contains(label))
+        });
+    }
+    if step.worker_limit > 0 {
+        candidates.iter_mut().for_each(|candidate| candidate.limit_left = step.worker_limit);
+    }
     candidates
 }
 
+/// Returns how many tasks of the same need the candidates can take.
+pub fn free_places(candidates: &[Candidate], need: Resources) -> usize {
+    let each = candidates.iter().map(|candidate| candidate.tasks_within(candidate.free, need));
+    each.fold(0, usize::saturating_add)
+}
+
+/// Returns how many tasks of the same need the candidates could take if they were idle.
+pub fn places(candidates: &[Candidate], need: Resources) -> usize {
+    let each = candidates.iter().map(|candidate| candidate.tasks_within(candidate.capacity, need));
+    each.fold(0, usize::saturating_add)
+}
+
 /// Returns the candidates that a step may use now: those near its data, or all if there are none or
 /// the step has waited long enough.
 pub fn local_candidates(candidates: &[Candidate], demand: Demand<'_>) -> Vec<Candidate> {
-    let Some(rack) = &demand.step.affinity else { return candidates.to_vec() };
+    let Some(rack) = demand.data else { return candidates.to_vec() };
     let local: Vec<Candidate> =
-        candidates.iter().filter(|candidate| candidate.rack == *rack).cloned().collect();
+        candidates.iter().filter(|candidate| rack.holds(candidate)).copied().collect();
     if local.is_empty() || !demand.waits_for_locality() { candidates.to_vec() } else { local }
 }
 
@@ -151,17 +208,13 @@
     if !(demand.step.gang && demand.step.one_rack) {
         return vec![candidates.to_vec()];
     }
-    let racks: BTreeSet<&str> =
-        candidates.iter().map(|candidate| candidate.rack.as_str()).collect();
-    let on_rack = |rack: &&str| -> Vec<Candidate> {
-        candidates.iter().filter(|candidate| candidate.rack == **rack).cloned().collect()
-    };
-    let mut candidate_sets: Vec<Vec<Candidate>> = racks.iter().map(on_rack).collect();
-    let fits_when_empty = candidate_sets.iter().any(|set| {
-        let mut empty = set.clone();
-        empty.iter_mut().for_each(|candidate| candidate.free = candidate.capacity);
-        pack(&mut empty, demand, count).len() == count
-    });
+    let mut racks: BTreeMap<fleet::RackKey, Vec<Candidate>> = BTreeMap::new();
+    for candidate in candidates {
+        racks.entry(candidate.rack).or_default().push(*candidate);
+    }
+    let mut candidate_sets: Vec<Vec<Candidate>> = racks.into_values().collect();
+    let need = Resources::of_step(demand.step);
+    let fits_when_empty = candidate_sets.iter().any(|set| places(set, need) >= count);
     if !fits_when_empty || !demand.waits_for_locality() {
         candidate_sets.push(candidates.to_vec());
     }
@@ -176,12 +229,16 @@
     if !demand.step.gang {
         return choose_tasks(candidates, demand, count);
     }
+    let need = Resources::of_step(demand.step);
+    if free_places(candidates, need) < count {
+        return Assignment::new();
+    }
     let mut best: Option<((usize, u32, u32), Assignment)> = None;
     for mut set in candidate_sets(candidates, demand, count) {
-        let chosen = pack(&mut set, demand, count);
-        if chosen.len() < count {
+        if free_places(&set, need) < count {
             continue;
         }
+        let chosen = pack(&mut set, demand, count);
         let used = |candidate: &&Candidate| chosen.iter().any(|(host, _)| *host == candidate.host);
         let used: Vec<&Candidate> = set.iter().filter(used).collect();
         let unsuitable = used
@@ -201,16 +258,16 @@
 }
 
 fn choose_tasks(candidates: &[Candidate], demand: Demand<'_>, count: usize) -> Assignment {
-    let Some(rack) = &demand.step.affinity else {
+    let Some(rack) = demand.data else {
         return pack(&mut candidates.to_vec(), demand, count);
     };
-    let has_affinity = |candidate: &&Candidate| candidate.rack == *rack;
-    let mut set: Vec<Candidate> = candidates.iter().filter(has_affinity).cloned().collect();
+    let has_affinity = |candidate: &&Candidate| rack.holds(candidate);
+    let mut set: Vec<Candidate> = candidates.iter().filter(has_affinity).copied().collect();
     let none_local = set.is_empty();
     let mut chosen = pack(&mut set, demand, count);
     if chosen.len() < count && (none_local || !demand.waits_for_locality()) {
         let mut remote: Vec<Candidate> =
-            candidates.iter().filter(|candidate| !has_affinity(candidate)).cloned().collect();
+            candidates.iter().filter(|candidate| !has_affinity(candidate)).copied().collect();
         chosen.extend(pack(&mut remote, demand, count - chosen.len()));
     }
     chosen
--- a/src/core/dispatch/fleet.rs
+++ b/src/core/dispatch/fleet.rs
@@ -37,6 +37,87 @@
     }
 }
 
+macros::key_types! {
+    /// The key of a rack in [`Racks`].
+    RackKey(u32);
+}
+
+/// The names of all racks that workers have announced.
+#[derive(Debug, Default)]
+pub struct Racks {
+    keys: BTreeMap<String, RackKey>,
+}
+
+impl Racks {
+    /// Returns the key of a rack, which is the same whenever the name is.
+    pub fn intern(&mut self, name: &str) -> RackKey {
+        let next = RackKey(self.keys.len() as u32);
+        match self.keys.get(name) {
+            Some(key) => *key,
+            None => *self.keys.entry(name.to_owned()).or_insert(next),
+        }
+    }
+
+    /// Returns the key of a rack; `None` if no worker has announced it.
+    pub fn find(&self, name: &str) -> Option<RackKey> {
+        self.keys.get(name).copied()
+    }
+}
+
+/// The resources that the runs on one worker occupy, and their sum.
+#[derive(Debug, Default)]
+pub struct Allocations {
+    runs: BTreeMap<model::RunKey, Resources>,
+    cpu: u64,
+    memory: u64,
+    accelerators: u64,
+}
+
+impl Allocations {
+    /// Adds a run, or replaces what it occupies.
+    pub fn insert(&mut self, key: model::RunKey, resources: Resources) {
+        self.remove(&key);
+        self.runs.insert(key, resources);
+        self.cpu += u64::from(resources.cpu);
+        self.memory += u64::from(resources.memory);
+        self.accelerators += u64::from(resources.accelerators);
+    }
+
+    /// Removes a run, and returns whether it was there.
+    pub fn remove(&mut self, key: &model::RunKey) -> bool {
+        let Some(resources) = self.runs.remove(key) else { return false };
+        self.cpu -= u64::from(resources.cpu);
+        self.memory -= u64::from(resources.memory);
+        self.accelerators -= u64::from(resources.accelerators);
+        true
+    }
+
+    /// Returns the runs.
+    pub fn keys(&self) -> impl Iterator<Item = &model::RunKey> {
+        self.runs.keys()
+    }
+
+    /// Returns the part of a capacity that the runs leave.
+    fn left_of(&self, capacity: Resources) -> Resources {
+        let left =
+            |all: u32, used: u64| all.saturating_sub(u32::try_from(used).unwrap_or(u32::MAX));
+        Resources {
+            cpu: left(capacity.cpu, self.cpu),
+            memory: left(capacity.memory, self.memory),
+            accelerators: left(capacity.accelerators, self.accelerators),
+        }
+    }
+}
+
+impl IntoIterator for Allocations {
+    type Item = (model::RunKey, Resources);
+    type IntoIter = std::collections::btree_map::IntoIter<model::RunKey, Resources>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.runs.into_iter()
+    }
+}
+
 /// The leader's state of one worker; keyed by the host of its agent.
 #[derive(Debug)]
 pub struct Worker {
@@ -54,8 +135,10 @@
     pub drain_deadline: Option<time::Tick>,
     /// The time until which the worker gets no new task.
     pub blocked_until: time::Tick,
+    /// The rack of the last announcement.
+    pub rack: RackKey,
     /// The resources that runs occupy, by run.
-    pub allocated: BTreeMap<model::RunKey, Resources>,
+    pub allocated: Allocations,
     /// The runs that the worker lists although they were not placed there.
     pub unexpected: BTreeSet<(model::TaskName, u32)>,
     /// The highest number of an end that the worker listed.
@@ -77,7 +160,8 @@
             fresh: false,
             drain_deadline: None,
             blocked_until: time::Tick(0),
-            allocated: BTreeMap::new(),
+            rack: RackKey::default(),
+            allocated: Allocations::default(),
             unexpected: BTreeSet::new(),
             last_listed: 0,
             proposed_ends: BTreeMap::new(),
@@ -139,7 +223,7 @@
             .announcement
             .as_ref()
             .map_or(Resources::default(), |announcement| announcement.capacity);
-        self.allocated.values().fold(capacity, |free, allocated| free.saturating_sub(*allocated))
+        self.allocated.left_of(capacity)
     }
 
     /// Returns the number up to which all ends are durable, if it has grown since the last call.
--- a/src/core/dispatch/leader.rs
+++ b/src/core/dispatch/leader.rs
@@ -39,6 +39,9 @@
     /// Reservations, by the first task of the step.
     pub(super) reservations: BTreeMap<model::TaskKey, Reservation>,
     pub(super) wait_times: wait::WaitTimes,
+    pub(super) racks: fleet::Racks,
+    /// Whether something has changed since the last pass that may let a waiting step start.
+    pub(super) changed: bool,
     pub(super) effects: Vec<order::Effect>,
 }
 
@@ -60,6 +63,8 @@
             health,
             reservations: BTreeMap::new(),
             wait_times: wait::WaitTimes::default(),
+            racks: fleet::Racks::default(),
+            changed: true,
             effects: Vec::new(),
         };
         for (key, job) in &registry.jobs {
@@ -113,6 +118,7 @@
 
     /// Handles the start of an agent's session.
     pub fn connected(&mut self, host: u32, now: Timestamp) {
+        self.changed = true;
         let lease_end = fleet::end_of_lease(now.tick, self.lease_limits.duration);
         let unknown = || fleet::Worker::inherited(None, lease_end);
         let worker = self.workers.entry(host).or_insert_with(unknown);
@@ -137,6 +143,7 @@
 
     /// Handles an event of the registry.
     pub fn event(&mut self, registry: &registry::Registry, event: &command::Event, now: Timestamp) {
+        self.changed |= !matches!(event, command::Event::Placed(..));
         match event {
             command::Event::Placed(key, incarnation) => {
                 self.placed(registry, *key, *incarnation, now)
@@ -265,7 +272,21 @@
         }
         self.reservations.retain(|_, reservation| reservation.expires_at > now.tick);
         self.migrate(registry, now);
-        self.place_waiting(registry, now);
+        self.changed = true;
+        self.decide(registry, now);
+    }
+
+    /// Returns whether anything has changed since the last pass that may let a waiting step start.
+    pub fn is_changed(&self) -> bool {
+        self.changed
+    }
+
+    /// Places waiting steps if anything has changed that may let one start. What depends on time
+    /// alone is left to [`Self::tick`].
+    pub fn decide(&mut self, registry: &registry::Registry, now: Timestamp) {
+        if std::mem::take(&mut self.changed) {
+            self.place_waiting(registry, now);
+        }
     }
 
     /// Ends all runs of an incarnation and of earlier ones on its host; none of them can be active.
--- a/src/core/dispatch/migrate.rs
+++ b/src/core/dispatch/migrate.rs
@@ -8,6 +8,7 @@
 use crate::core::dispatch::order;
 use crate::core::dispatch::order::Resources;
 use crate::core::dispatch::order::Timestamp;
+use crate::core::dispatch::plan;
 use crate::core::dispatch::queue;
 use crate::core::dispatch::runs;
 use crate::core::time;
@@ -26,6 +27,7 @@
         for host in &stalled {
             self.health.suspend(*host, now.tick);
         }
+        let mut pass = plan::Pass::default();
         let mut stopped = Vec::new();
         for (key, run) in &self.runs {
             let Some(job) = registry.jobs.get(&key.task.job) else { continue };
@@ -36,7 +38,7 @@
             let stalled_run =
                 stalled.contains(&run.incarnation.host) && self.is_stalled(registry, *key);
             let cut_short = self.is_cut_short(*key, run, now)
-                && (run.checkpoints || self.fits_elsewhere(job, key, registry, now));
+                && (run.checkpoints || self.fits_elsewhere(&mut pass, job, key, registry, now));
             if stalled_run || cut_short {
                 stopped.push((
                     *key,
@@ -84,6 +86,7 @@
     /// Returns whether a task could run elsewhere immediately.
     pub(super) fn fits_elsewhere(
         &self,
+        pass: &mut plan::Pass,
         job: &job::Job,
         key: &model::RunKey,
         registry: &registry::Registry,
@@ -94,8 +97,8 @@
         let prospect = queue::Prospect::InTime;
         let waiting =
             queue::WaitingStep { rank, sort_prospect: prospect, due: 0, prospect, first_task };
-        let demand = self.demand(registry, job, &waiting, now);
+        let demand = self.demand(pass, registry, job, &waiting, now);
         let need = Resources::of_step(demand.step);
-        self.candidates(demand, &waiting, now).iter().any(|candidate| candidate.free.covers(need))
+        self.candidates(pass, demand, &waiting).iter().any(|candidate| candidate.free.covers(need))
     }
 }
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -1,6 +1,8 @@
 //! Placement of waiting steps in queue order, and preemption for urgent ones.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::rc;
 
 use crate::core::dispatch::fit;
 use crate::core::dispatch::leader;
@@ -53,9 +55,78 @@
     }
 }
 
+/// A pool during one pass over the queue.
+#[derive(Debug)]
+struct Pool {
+    /// The workers that accept tasks, less what has been placed in the pass.
+    open: Vec<fit::Candidate>,
+    /// The numbers of free accelerators and of all, also of workers that accept no tasks.
+    accelerators: (u64, u64),
+}
+
+impl Pool {
+    /// Returns whether more than half of the accelerators are in use.
+    fn is_contended(&self) -> bool {
+        self.accelerators.0 * 2 < self.accelerators.1
+    }
+
+    fn allocate(&mut self, host: u32, resources: order::Resources) {
+        if let Ok(index) = self.open.binary_search_by_key(&host, |candidate| candidate.host) {
+            self.open[index].allocate(resources);
+        }
+        self.accelerators.0 = self.accelerators.0.saturating_sub(resources.accelerators.into());
+    }
+
+    /// Returns whether any worker has room for a task.
+    fn has_room(&self, need: order::Resources) -> bool {
+        self.open.iter().any(|candidate| candidate.free.covers(need))
+    }
+}
+
+/// What the steps of one pass over the queue have in common.
+#[derive(Debug, Default)]
+pub(super) struct Pass {
+    pools: BTreeMap<String, Pool>,
+    /// The runs that may be preempted or awaited, by method and rank of the step.
+    victims: BTreeMap<(preempt::Method, u32), rc::Rc<preempt::Victims>>,
+}
+
+impl Pass {
+    /// Returns the runs that a method may use for steps of the context's rank.
+    fn victims(
+        &mut self,
+        context: preempt::Context<'_>,
+        method: preempt::Method,
+    ) -> rc::Rc<preempt::Victims> {
+        let rank = match method {
+            preempt::Method::Stop => context.rank,
+            // Any run may be awaited.
+            preempt::Method::Wait => 0,
+        };
+        let new = || rc::Rc::new(preempt::Victims::new(context, method));
+        self.victims.entry((method, rank)).or_insert_with(new).clone()
+    }
+}
+
 impl leader::Dispatch {
+    /// Returns a pool at the beginning of a pass.
+    fn pool(&self, name: &str, now: Timestamp) -> Pool {
+        let (mut free, mut all) = (0, 0_u64);
+        for worker in self.workers.values() {
+            let announcement = worker.announcement.as_ref();
+            let Some(announcement) = announcement.filter(|known| known.pool == name) else {
+                continue;
+            };
+            all += u64::from(announcement.capacity.accelerators);
+            free += u64::from(worker.free().accelerators);
+        }
+        let open = fit::open_workers(&self.workers, &self.health, name, now);
+        Pool { open, accelerators: (free, all) }
+    }
+
     /// Places waiting steps in queue order, and preempts lower ranks for urgent ones.
     pub(super) fn place_waiting(&mut self, registry: &registry::Registry, now: Timestamp) {
+        let mut pass = Pass::default();
         let mut placements = Vec::new();
         let queue = queue::waiting(registry, now);
         self.wait_times.update(&queue, now.tick);
@@ -69,10 +140,11 @@
             if indices.is_empty() || (step.gang && indices.len() < step.count as usize) {
                 continue;
             }
-            let turn = Turn { job, waiting, demand: self.demand(registry, job, &waiting, now) };
-            let limit = self.start_limit(turn, single_job);
+            let demand = self.demand(&mut pass, registry, job, &waiting, now);
+            let turn = Turn { job, waiting, demand };
+            let limit = self.start_limit(&pass, turn, single_job);
             let allowed = &indices[..limit.min(indices.len())];
-            let placed = self.place_step(registry, turn, allowed, now);
+            let placed = self.place_step(registry, &mut pass, turn, allowed, now);
             self.record_placed(&turn, placed.len(), indices.len(), now);
             placements.extend(placed);
         }
@@ -96,18 +168,15 @@
     /// Returns how many more tasks of a step may start. While other jobs wait, long tasks beyond
     /// the guarantee take at most half of a pool; very long ones always do, since other jobs will
     /// arrive.
-    fn start_limit(&self, turn: Turn<'_>, single_job: bool) -> usize {
+    fn start_limit(&self, pass: &Pass, turn: Turn<'_>, single_job: bool) -> usize {
         let (step, need) = (turn.demand.step, turn.demand.step.accelerators);
         let long = if single_job { VERY_LONG_ESTIMATE } else { LONG_ESTIMATE };
         let short = u64::from(step.estimate) < long.0;
         if short || need == 0 || step.gang || turn.waiting.rank == queue::GUARANTEED_RANK {
             return usize::MAX;
         }
-        let workers = self.workers.values().filter_map(|worker| worker.announcement.as_ref());
-        let workers = workers.filter(|announcement| announcement.pool == turn.demand.pool);
-        let all = workers
-            .map(|announcement| announcement.capacity.accelerators)
-            .fold(0, u32::saturating_add);
+        let all = pass.pools.get(turn.demand.pool).map_or(0, |pool| pool.accelerators.1);
+        let all = u32::try_from(all).unwrap_or(u32::MAX);
         let active = runs::of_step(&self.runs, turn.waiting.first_task)
             .filter(|(_, run)| run.occupies_worker());
         let active = (active.count() as u32).saturating_mul(need);
@@ -119,13 +188,20 @@
     fn place_step(
         &mut self,
         registry: &registry::Registry,
+        pass: &mut Pass,
         turn: Turn<'_>,
         indices: &[u32],
         now: Timestamp,
     ) -> Vec<command::Placement> {
         let owner = turn.waiting.first_task;
-        let mut candidates = self.candidates(turn.demand, &turn.waiting, now);
-        let mut placed = self.place_tasks(turn, &mut candidates, indices, turn.is_urgent(), now);
+        let need = order::Resources::of_step(turn.demand.step);
+        let has_room = pass.pools.get(turn.demand.pool).is_some_and(|pool| pool.has_room(need));
+        if !has_room && !turn.is_urgent() && !turn.may_reserve() {
+            return Vec::new();
+        }
+        let mut candidates = self.candidates(pass, turn.demand, &turn.waiting);
+        let urgent = turn.is_urgent();
+        let mut placed = self.place_tasks(pass, turn, &mut candidates, indices, urgent, now);
         let rest = &indices[placed.len()..];
         let reservation = self.reservations.get(&owner);
         if rest.is_empty() {
@@ -137,14 +213,14 @@
         }
         let reserved = reservation.is_some();
         if turn.is_urgent() {
-            if !reserved && self.preempt_for(registry, turn, &candidates, rest.len(), now) {
+            if !reserved && self.preempt_for(registry, pass, turn, &candidates, rest.len(), now) {
                 return placed;
             }
-            placed.extend(self.place_tasks(turn, &mut candidates, rest, false, now));
+            placed.extend(self.place_tasks(pass, turn, &mut candidates, rest, false, now));
         }
         let rest = &indices[placed.len()..];
         if !rest.is_empty() && !reserved && turn.may_reserve() {
-            self.reserve_for(turn, &candidates, rest.len(), now);
+            self.reserve_for(pass, turn, &candidates, rest.len(), now);
         }
         placed
     }
@@ -165,6 +241,7 @@
     /// for the step.
     fn place_tasks(
         &mut self,
+        pass: &mut Pass,
         turn: Turn<'_>,
         candidates: &mut [fit::Candidate],
         indices: &[u32],
@@ -181,7 +258,7 @@
         let open = candidates
             .iter()
             .filter(|candidate| !strict || reliable(candidate) || preempted(candidate));
-        let open: Vec<_> = open.cloned().collect();
+        let open: Vec<_> = open.copied().collect();
         let choice = fit::choose(&open, demand, indices.len());
         let mut placements = Vec::new();
         let number = next_run(job, waiting.first_task, indices);
@@ -199,6 +276,9 @@
             if let Some(worker) = self.workers.get_mut(&host) {
                 worker.allocated.insert(key, placed.resources);
             }
+            if let Some(pool) = pass.pools.get_mut(demand.pool) {
+                pool.allocate(host, placed.resources);
+            }
             self.runs.insert(key, placed);
             let model::TaskKey { job, occurrence, step, index } = task;
             placements.push(command::Placement {
@@ -216,6 +296,7 @@
     /// Returns the demand of a waiting step.
     pub(super) fn demand<'a>(
         &self,
+        pass: &mut Pass,
         registry: &'a registry::Registry,
         job: &'a job::Job,
         waiting: &queue::WaitingStep,
@@ -224,49 +305,36 @@
         let directory = registry.directory.as_ref();
         let queue = directory.and_then(|active| active.queue_at(&job.submission.queue));
         let pool = queue.map_or(&job.submission.pool, |queue| &queue.pool);
+        let state = pass.pools.entry(pool.clone()).or_insert_with(|| self.pool(pool, now));
+        let step = job.step(waiting.first_task.step);
+        let data = step
+            .affinity
+            .as_ref()
+            .map(|rack| self.racks.find(rack).map_or(fit::Rack::Unknown, fit::Rack::Known));
         fit::Demand {
-            step: job.step(waiting.first_task.step),
+            step,
+            data,
             pool,
             urgent: waiting.rank <= queue::URGENT_RANK,
             low_priority: waiting.rank > MAX_RESERVING_RANK,
             waited: self.wait_times.waited(waiting.first_task, now.tick),
-            contended: self.is_contended(pool),
+            contended: state.is_contended(),
         }
     }
 
-    /// Returns whether more than half of a pool's accelerators are in use.
-    fn is_contended(&self, pool: &str) -> bool {
-        let (mut free, mut all) = (0, 0_u64);
-        for worker in self.workers.values() {
-            let Some(announcement) =
-                worker.announcement.as_ref().filter(|announcement| announcement.pool == pool)
-            else {
-                continue;
-            };
-            all += u64::from(announcement.capacity.accelerators);
-            free += u64::from(worker.free().accelerators);
-        }
-        free * 2 < all
-    }
-
     /// Returns the workers that may take tasks of a step, less what other steps have reserved.
     pub(super) fn candidates(
         &self,
+        pass: &Pass,
         demand: fit::Demand<'_>,
         waiting: &queue::WaitingStep,
-        now: Timestamp,
     ) -> Vec<fit::Candidate> {
-        let mut reserved = fit::Reserved::new();
-        for (owner, reservation) in &self.reservations {
-            if *owner == waiting.first_task || reservation.rank > waiting.rank {
-                continue;
-            }
-            for (host, resources) in &reservation.resources {
-                let sum = reserved.entry(*host).or_default();
-                *sum = sum.saturating_add(*resources);
-            }
-        }
-        let mut candidates = fit::candidates(&self.workers, &self.health, demand, &reserved, now);
+        let Some(pool) = pass.pools.get(demand.pool) else { return Vec::new() };
+        let others = self.reservations.iter().filter(|(owner, reservation)| {
+            **owner != waiting.first_task && reservation.rank <= waiting.rank
+        });
+        let reserved = others.map(|(_, reservation)| &reservation.resources);
+        let mut candidates = fit::candidates(&pool.open, &self.workers, demand.step, reserved);
         if demand.step.worker_limit > 0 {
             for (_, run) in runs::of_step(&self.runs, waiting.first_task) {
                 let host = run.incarnation.host;
@@ -285,6 +353,7 @@
     fn preempt_for(
         &mut self,
         registry: &registry::Registry,
+        pass: &mut Pass,
         turn: Turn<'_>,
         candidates: &[fit::Candidate],
         count: usize,
@@ -298,10 +367,14 @@
         // racks.
         let any = turn.waiting.rank == queue::GUARANTEED_RANK || turn.demand.step.one_rack;
         let candidates = candidates.iter().filter(|candidate| any || !candidate.slow);
-        let candidates: Vec<_> = candidates.cloned().collect();
+        let candidates: Vec<_> = candidates.copied().collect();
+        let method = preempt::Method::Stop;
         let context = self.preemption(turn.waiting.rank, now);
-        let plan = preempt::plan(&candidates, context, turn.demand, count, preempt::Method::Stop);
+        let victims = pass.victims(context, method);
+        let plan = preempt::plan(&candidates, &victims, context, turn.demand, count, method);
         let Some(plan) = plan.filter(|plan| plan.deferred) else { return false };
+        // Stopped runs are no longer victims.
+        pass.victims.clear();
         for key in &plan.victims {
             self.stop(
                 registry,
@@ -318,15 +391,17 @@
     /// starve.
     fn reserve_for(
         &mut self,
+        pass: &mut Pass,
         turn: Turn<'_>,
         candidates: &[fit::Candidate],
         count: usize,
         now: Timestamp,
     ) {
+        let method = preempt::Method::Wait;
         let context = self.preemption(turn.waiting.rank, now);
-        if let Some(plan) =
-            preempt::plan(candidates, context, turn.demand, count, preempt::Method::Wait)
-        {
+        let victims = pass.victims(context, method);
+        let plan = preempt::plan(candidates, &victims, context, turn.demand, count, method);
+        if let Some(plan) = plan {
             self.reserve(&turn.waiting, plan.reserved, false, now);
         }
     }
--- a/src/core/dispatch/preempt.rs
+++ b/src/core/dispatch/preempt.rs
@@ -59,7 +59,7 @@
 }
 
 /// The way in which resources become free.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Method {
     /// Runs of lower priority are stopped.
     Stop,
@@ -68,9 +68,11 @@
 }
 
 /// Plans resources for tasks of a step: for all `count` tasks of a gang, otherwise for as many as
-/// are worth their cost. Returns `None` if there are none.
+/// are worth their cost. Returns `None` if there are none. `victims` are those of the same method
+/// and rank.
 pub fn plan(
     candidates: &[fit::Candidate],
+    victims: &Victims,
     context: Context<'_>,
     demand: fit::Demand<'_>,
     count: usize,
@@ -78,8 +80,9 @@
 ) -> Option<Plan> {
     let candidates = fit::local_candidates(candidates, demand);
     let candidate_sets = fit::candidate_sets(&candidates, demand, count);
-    let plans =
-        candidate_sets.iter().filter_map(|set| plan_within(set, context, demand, count, method));
+    let plans = candidate_sets
+        .iter()
+        .filter_map(|set| plan_within(set, victims, context, demand, count, method));
     let mut plan = plans.min_by_key(|plan| plan.cost)?;
     plan.deferred = method == Method::Wait || !plan.victims.is_empty();
     let ends_soon = |key: &model::RunKey| {
@@ -93,40 +96,43 @@
 
 fn plan_within(
     candidates: &[fit::Candidate],
+    victims: &Victims,
     context: Context<'_>,
     demand: fit::Demand<'_>,
     count: usize,
     method: Method,
 ) -> Option<Plan> {
-    let mut simulation = Simulation::new(candidates, context, method);
     let need = Resources::of_step(demand.step);
+    if demand.step.gang && fit::places(candidates, need) < count {
+        return None;
+    }
+    let mut simulation = Simulation::new(candidates, victims, context.runs, need);
     let own_work = work(need, u64::from(demand.step.estimate));
     let bounded = method == Method::Stop && context.rank > queue::GUARANTEED_RANK;
     let limit = if bounded { own_work.saturating_mul(MAX_LOSS_PERCENT) / 100 } else { u64::MAX };
     let mut plan = Plan::default();
     let mut planned = 0;
     while planned < count {
-        let Some((cost, host)) = simulation.cheapest(need).filter(|(cost, _)| *cost <= limit)
-        else {
+        let Some((cost, host)) = simulation.cheapest().filter(|(cost, _)| *cost <= limit) else {
             break;
         };
         planned += 1;
         plan.cost = plan.cost.saturating_add(cost);
-        simulation.mark_stopped(host, need, &mut plan.victims);
-        let candidate = simulation.candidates.get_mut(&host)?;
-        candidate.allocate(need);
+        simulation.allocate(host);
         let reserved = plan.reserved.entry(host).or_default();
         *reserved = reserved.saturating_add(need);
     }
+    plan.victims = simulation.stopped;
     let enough = if demand.step.gang { planned == count } else { planned > 0 };
     enough.then_some(plan)
 }
 
 /// A run that may be stopped, with the cost of stopping or awaiting it.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Preemptible {
     cost: u64,
     key: model::RunKey,
+    resources: Resources,
 }
 
 /// The cost of freeing the resources of a run, including its gang.
@@ -148,17 +154,17 @@
     }
 }
 
-/// The candidates, as they would be after the stops that are planned so far.
-struct Simulation<'a> {
-    candidates: BTreeMap<u32, fit::Candidate>,
-    runs: &'a runs::Runs,
-    /// The runs that may be stopped on each host, the cheapest first.
-    preemptible: BTreeMap<u32, Vec<Preemptible>>,
+/// The runs that may be stopped or awaited for steps of one rank.
+#[derive(Debug, Default)]
+pub struct Victims {
+    /// The runs on each host, the cheapest first.
+    by_host: BTreeMap<u32, Vec<Preemptible>>,
 }
 
-impl<'a> Simulation<'a> {
-    fn new(candidates: &[fit::Candidate], context: Context<'a>, method: Method) -> Self {
-        let mut preemptible: BTreeMap<u32, Vec<Preemptible>> = BTreeMap::new();
+impl Victims {
+    /// Returns the runs that a method may use for steps of the context's rank.
+    pub fn new(context: Context<'_>, method: Method) -> Self {
+        let mut by_host: BTreeMap<u32, Vec<Preemptible>> = BTreeMap::new();
         let active = [runs::State::Ordered, runs::State::Running];
         let mut gangs = BTreeMap::new();
         for (key, run) in context.runs.iter() {
@@ -179,68 +185,112 @@
                 Method::Stop => stop_cost.loss,
                 Method::Wait => stop_cost.remaining.0,
             };
-            preemptible
-                .entry(run.incarnation.host)
-                .or_default()
-                .push(Preemptible { cost, key: *key });
+            let preemptible = Preemptible { cost, key: *key, resources: run.resources };
+            by_host.entry(run.incarnation.host).or_default().push(preemptible);
         }
-        preemptible.values_mut().for_each(|list| list.sort());
-        let candidates =
-            candidates.iter().map(|candidate| (candidate.host, candidate.clone())).collect();
-        Self { candidates, runs: context.runs, preemptible }
+        by_host.values_mut().for_each(|list| list.sort());
+        Self { by_host }
+    }
+}
+
+/// The candidates, as they would be after the stops that are planned so far.
+struct Simulation<'a> {
+    candidates: BTreeMap<u32, fit::Candidate>,
+    victims: &'a Victims,
+    runs: &'a runs::Runs,
+    need: Resources,
+    /// The runs that are planned to be stopped.
+    stopped: BTreeSet<model::RunKey>,
+    /// The hosts that can satisfy the need, by cost and then by free accelerators.
+    by_cost: BTreeSet<(u64, u32, u32)>,
+}
+
+impl<'a> Simulation<'a> {
+    fn new(
+        candidates: &[fit::Candidate],
+        victims: &'a Victims,
+        runs: &'a runs::Runs,
+        need: Resources,
+    ) -> Self {
+        let by_host: BTreeMap<u32, fit::Candidate> =
+            candidates.iter().map(|candidate| (candidate.host, *candidate)).collect();
+        let mut simulation = Self {
+            candidates: by_host,
+            victims,
+            runs,
+            need,
+            stopped: BTreeSet::new(),
+            by_cost: BTreeSet::new(),
+        };
+        simulation.by_cost =
+            candidates.iter().filter_map(|candidate| simulation.cost(candidate)).collect();
+        simulation
     }
 
-    /// Returns the host that can satisfy the need at the least cost, and that cost.
-    fn cheapest(&self, need: Resources) -> Option<(u64, u32)> {
-        let costs = self.candidates.iter().filter_map(|(host, candidate)| {
-            let (cost, _) = self.victims(*host, candidate, need)?;
-            let penalty = if candidate.slow || candidate.suspect { UNRELIABLE_COST } else { 0 };
-            Some((cost.saturating_add(penalty), candidate.free.accelerators, *host))
-        });
-        costs.min().map(|(cost, _, host)| (cost, host))
+    /// Returns the least cost of a host that can satisfy the need, and the host.
+    fn cheapest(&self) -> Option<(u64, u32)> {
+        self.by_cost.first().map(|(cost, _, host)| (*cost, *host))
     }
 
-    fn victims(
+    /// Returns the entry of a candidate in [`Self::by_cost`]; `None` if it can't satisfy the need.
+    fn cost(&self, candidate: &fit::Candidate) -> Option<(u64, u32, u32)> {
+        let cost = self.for_need(candidate, |_| {})?;
+        let penalty = if candidate.slow || candidate.suspect { UNRELIABLE_COST } else { 0 };
+        Some((cost.saturating_add(penalty), candidate.free.accelerators, candidate.host))
+    }
+
+    /// Returns the cost of freeing what the need lacks on a candidate, and calls `visit` with each
+    /// run to stop.
+    fn for_need(
         &self,
-        host: u32,
         candidate: &fit::Candidate,
-        need: Resources,
-    ) -> Option<(u64, Vec<model::RunKey>)> {
+        mut visit: impl FnMut(model::RunKey),
+    ) -> Option<u64> {
         if candidate.limit_left == 0 {
             return None;
         }
-        let (mut free, mut cost, mut victims) = (candidate.free, 0, Vec::new());
-        for preemptible in self.preemptible.get(&host).into_iter().flatten() {
-            if free.covers(need) {
+        let (mut free, mut cost) = (candidate.free, 0_u64);
+        let list = self.victims.by_host.get(&candidate.host).into_iter().flatten();
+        for preemptible in list.filter(|preemptible| !self.stopped.contains(&preemptible.key)) {
+            if free.covers(self.need) {
                 break;
             }
-            free = free.saturating_add(self.runs[&preemptible.key].resources);
+            free = free.saturating_add(preemptible.resources);
             cost = preemptible.cost.saturating_add(cost);
-            victims.push(preemptible.key);
+            visit(preemptible.key);
         }
-        free.covers(need).then_some((cost, victims))
+        free.covers(self.need).then_some(cost)
     }
 
-    /// Counts the runs to stop on a host as stopped, together with their gangs.
-    fn mark_stopped(&mut self, host: u32, need: Resources, victims: &mut BTreeSet<model::RunKey>) {
-        let candidate = &self.candidates[&host];
-        let Some((_, chosen)) = self.victims(host, candidate, need) else { return };
-        for key in chosen {
-            let members: Vec<_> =
-                runs::gang_of(self.runs, key).map(|(member, _)| *member).collect();
-            for member in members {
-                if !victims.insert(member) {
-                    continue;
-                }
-                let run = &self.runs[&member];
-                if let Some(list) = self.preemptible.get_mut(&run.incarnation.host) {
-                    list.retain(|listed| listed.key != member);
-                }
-                if let Some(candidate) = self.candidates.get_mut(&run.incarnation.host) {
-                    candidate.free = candidate.free.saturating_add(run.resources);
-                }
+    /// Allocates the need on a host. The runs to stop there count as stopped, with their gangs.
+    fn allocate(&mut self, host: u32) {
+        let mut chosen = Vec::new();
+        self.for_need(&self.candidates[&host], |key| chosen.push(key));
+        let mut changed = BTreeSet::from([host]);
+        let before: Vec<_> = chosen
+            .iter()
+            .flat_map(|key| runs::gang_of(self.runs, *key))
+            .map(|(member, run)| (*member, run.incarnation.host, run.resources))
+            .collect();
+        changed.extend(before.iter().map(|(_, member_host, _)| *member_host));
+        for changed_host in &changed {
+            let entry = self.candidates.get(changed_host).and_then(|known| self.cost(known));
+            entry.map(|entry| self.by_cost.remove(&entry));
+        }
+        for (member, member_host, resources) in before {
+            if self.stopped.insert(member)
+                && let Some(candidate) = self.candidates.get_mut(&member_host)
+            {
+                candidate.free = candidate.free.saturating_add(resources);
             }
         }
+        if let Some(candidate) = self.candidates.get_mut(&host) {
+            candidate.allocate(self.need);
+        }
+        for changed_host in &changed {
+            let entry = self.candidates.get(changed_host).and_then(|known| self.cost(known));
+            self.by_cost.extend(entry);
+        }
     }
 }
 
--- a/src/core/dispatch/report.rs
+++ b/src/core/dispatch/report.rs
@@ -25,6 +25,25 @@
 impl leader::Dispatch {
     /// Handles a report of an agent.
     pub fn report(
+        &mut self,
+        registry: &registry::Registry,
+        host: u32,
+        report: order::Report,
+        now: Timestamp,
+    ) {
+        let before = self.room(host, now);
+        self.apply_report(registry, host, report, now);
+        // Most reports show progress only, and no decision depends on that at once.
+        self.changed |= self.room(host, now) != before;
+    }
+
+    /// Returns what a worker has free for tasks; `None` if it accepts none.
+    fn room(&self, host: u32, now: Timestamp) -> Option<order::Resources> {
+        let worker = self.workers.get(&host)?;
+        worker.accepts_tasks(now.tick).then(|| worker.free())
+    }
+
+    fn apply_report(
         &mut self,
         registry: &registry::Registry,
         host: u32,
@@ -60,6 +79,7 @@
         worker.drain_deadline = announcement
             .draining
             .then(|| now.tick + report.drain_left.map_or(DEFAULT_DRAIN, time::Millis));
+        worker.rack = self.racks.intern(&announcement.rack);
         worker.announcement = Some(announcement);
         worker.fresh = report.fresh;
         if !report.fresh {
@@ -297,6 +317,7 @@
         else {
             return;
         };
+        self.changed = true;
         if let Some(worker) = self.workers.get_mut(&host) {
             if known.state == runs::State::Ordered {
                 worker.refused(now.tick);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod dispatch_incarnations;
 mod dispatch_leaders;
 mod dispatch_order;
+mod dispatch_pass;
 mod dispatch_policy;
 mod dispatch_speed;
 mod dispatch_workers;
