Emulate the dispatcher under load in virtual time

Prints service by kind, the largest jobs, the worst account, work thrown away and the time of a pass beside a bound that no schedule exceeds.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cli;
 pub mod control;
 pub mod core;
+pub mod emulator;
 pub mod entry;
 pub mod gate;
 pub mod net;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod dispatch_speed;
 mod dispatch_workers;
 mod dispatch_world;
+mod emulator;
 mod entry;
 mod entry_contract;
 mod entry_faults;
