Close a stopped run only by a poll that was sent after the stop's answer

Trace: an agent was ordered to start and to stop run 4 of four tasks in one millisecond. The stop of one was answered and a poll sent; the worker answered that poll before it carried out the start of another, then started it and answered its stop. All of it within one millisecond, so the list, which lacked the run, counted as later than the stop: the run was closed as never started, its task was placed again, and run 5 started while run 4 was still stopping.

Cause: answers and polls were put in order by times in whole milliseconds, and equal times counted as after. Ruled out: the leader (it placed run 5 only after the agent's word), the worker (it may carry out calls in any order).

Change: polls are numbered; a list closes a run only if its poll has a higher number than the last one sent before the stop was answered. The rule is a pure module of its own. The test with the trace's order fails with the old comparison and passes with the new one.

--- a/src/runner/agent/incarnation.rs
+++ b/src/runner/agent/incarnation.rs
@@ -1,6 +1,5 @@
 //! Determines the current incarnation of the worker.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc;
 
@@ -10,6 +9,7 @@
 use crate::runner::agent::Completion;
 use crate::runner::agent::Unconfirmed;
 use crate::runner::agent::Worker;
+use crate::runner::closing;
 use crate::runner::probe;
 use crate::telemetry::event;
 
@@ -134,7 +134,7 @@
             acknowledged: 0,
             listing: Some((response.listing, response.request)),
             listed_at: self.clock.tick(),
-            closing: BTreeMap::new(),
+            closing: closing::Closing::default(),
             in_flight: BTreeSet::new(),
             alive: rc::Rc::new(()),
         });
--- a/src/runner/agent/mod.rs
+++ b/src/runner/agent/mod.rs
@@ -22,6 +22,8 @@
 use crate::net::seeds;
 use crate::runner::backend;
 use crate::runner::backend::Backend;
+use crate::runner::closing;
+use crate::runner::closing::RunName;
 use crate::runner::fence;
 use crate::runner::launch;
 use crate::runner::lease;
@@ -100,8 +102,6 @@
     }
 }
 
-type RunName = (model::TaskName, u32);
-
 /// The completion of a call to the worker, or of a delay.
 enum Completion {
     /// A poll, with its answer.
@@ -144,9 +144,8 @@
     listing: Option<(backend::Listing, probe::Request)>,
     /// The time at which the last listing arrived.
     listed_at: core_time::Tick,
-    /// The time at which the stop of a run was answered; the run is closed once a later listing
-    /// lacks it.
-    closing: BTreeMap<RunName, core_time::Tick>,
+    /// The runs whose stop was answered, until a later listing shows whether they have ended.
+    closing: closing::Closing,
     /// The runs with an order in flight.
     in_flight: BTreeSet<RunName>,
     /// Dropped when this incarnation is no longer the current one, which ends its orders to stop.
@@ -305,7 +304,7 @@
         else {
             return;
         };
-        if worker.in_flight.contains(&name) || worker.closing.contains_key(&name) {
+        if worker.in_flight.contains(&name) || worker.closing.contains(&name) {
             return;
         }
         let Some(deadline) = deadline.filter(|_| valid && !worker.announcement.draining) else {
@@ -360,7 +359,7 @@
                     return;
                 };
                 worker.in_flight.remove(&name);
-                worker.closing.insert(name, now);
+                worker.closing.stop_answered(name, now);
                 self.poll(0);
             }
             Completion::Abandoned => {}
--- a/src/runner/agent/poll.rs
+++ b/src/runner/agent/poll.rs
@@ -4,14 +4,14 @@
 use std::time;
 
 use crate::core::dispatch::order;
-use crate::core::time as core_time;
 use crate::core::workflow::model;
 use crate::runner::agent::Agent;
 use crate::runner::agent::Completion;
 use crate::runner::agent::POLL_WAIT_MS;
-use crate::runner::agent::RunName;
 use crate::runner::agent::Unconfirmed;
 use crate::runner::backend;
+use crate::runner::closing;
+use crate::runner::closing::RunName;
 use crate::runner::probe;
 use crate::telemetry::event;
 use crate::wire::runner as wire;
@@ -22,20 +22,17 @@
 /// The delay before the next poll while ends are not durable yet, or after a poll that failed.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(150);
 
-/// The time after the answer to a stop by which the run has certainly ended, also if the lists
-/// can't tell: a stop takes 400 ms.
-const MAX_STOP_TIME: core_time::Millis = core_time::Millis(3000);
-
 impl Agent {
     /// Polls the worker for its runs and extends its lease.
     pub(super) fn poll(&mut self, wait: u64) {
         let (deadline, fence) = (self.lease.deadline(), self.fence.token());
         let valid = self.lease.is_valid(self.clock.tick());
-        let Some(worker) = &self.worker else { return };
+        let Some(worker) = &mut self.worker else { return };
         let deadline = deadline.filter(|_| valid);
         let poll = backend::Poll { fence, deadline, acknowledged: worker.acknowledgement(), wait };
         let incarnation = worker.announcement.incarnation;
-        let request = probe::Request { sent_at: self.clock.tick(), fence };
+        let number = worker.closing.next_poll();
+        let request = probe::Request { sent_at: self.clock.tick(), fence, number };
         let limit = time::Duration::from_millis(wait) + ANSWER_TIMEOUT;
         let answer = tokio::time::timeout(limit, worker.backend.poll(poll));
         self.polls += 1;
@@ -126,23 +123,8 @@
         let changed = before.as_ref() != Some(&running) || !listing.finished.is_empty();
         let mut listed = running;
         listed.extend(listing.finished.iter().map(|entry| (entry.task.clone(), entry.run)));
-        // A row that can't be read may stand for any run.
-        let grace = if listing.partial { MAX_STOP_TIME } else { core_time::Millis(0) };
-        let mut closed = Vec::new();
-        worker.closing.retain(|name, answered_at| {
-            if *answered_at > request.sent_at {
-                return true;
-            }
-            // The leader orders a run that is still in progress to stop again.
-            if listed.contains(name) {
-                return false;
-            }
-            if *answered_at + grace > request.sent_at {
-                return true;
-            }
-            closed.push(name.clone());
-            false
-        });
+        let poll = closing::Poll { number: request.number, sent_at: request.sent_at };
+        let closed = worker.closing.listed(poll, &listed, listing.partial);
         let incarnation = worker.announcement.incarnation;
         worker.listing = Some((listing, request));
         if changed {
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -6,6 +6,7 @@
 //! missing.
 //!
 //! - [`backend`]: the interface to the worker, implemented by the client of its protocol
+//! - [`closing`]: the runs whose stop was answered, until the worker's lists show their ends
 //! - [`fence`]: the token by which the worker refuses calls for an earlier term or incarnation
 //! - [`lease`]: the lease on the worker, and the worker's clock
 //! - [`probe`]: probing whether an announced incarnation is running
@@ -14,6 +15,7 @@
 
 pub mod agent;
 pub mod backend;
+pub mod closing;
 pub mod fence;
 pub mod launch;
 pub mod lease;
--- a/src/runner/probe.rs
+++ b/src/runner/probe.rs
@@ -31,6 +31,8 @@
         pub sent_at: core_time::Tick,
         /// The fencing token that it carried.
         pub fence: u64,
+        /// The number of the poll to the current incarnation; 0 for a probe, which precedes them.
+        pub number: u64,
     }
 }
 
@@ -55,7 +57,7 @@
         if attempt > 0 {
             tokio::time::sleep(RETRY_DELAY).await;
         }
-        let request = Request { sent_at: clock.tick(), fence: fence() };
+        let request = Request { sent_at: clock.tick(), fence: fence(), number: 0 };
         let poll = backend::Poll { fence: request.fence, deadline: None, acknowledged: 0, wait: 0 };
         match tokio::time::timeout(TIMEOUT, backend.poll(poll)).await {
             Ok(Ok(listing))
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -51,6 +51,7 @@
 mod replica_links;
 mod replica_support;
 mod runner;
+mod runner_closing;
 mod runner_session;
 mod settings;
 mod settings_examples;
