Weigh what an urgent gang stops against the whole gang

Callers saw: in bursts, urgent gangs of whole workers waited for seconds beside wide gangs of lower rank, although stopping one of those would have cost less than the urgent gang is worth. Cause: beyond its guarantee each member was allowed to stop as much work as one task is; the first victim of a wide gang costs the whole gang, and the room of its other members then is free.

Change: for a gang, the sum over its members is held to the work of the gang.

--- a/src/core/dispatch/preempt.rs
+++ b/src/core/dispatch/preempt.rs
@@ -29,7 +29,8 @@
 /// on all its accelerators.
 const UNRELIABLE_COST: u64 = 64_000;
 
-/// The most work that may be lost for urgent work beyond a guarantee, in percent of that work.
+/// The most work that may be lost for urgent work beyond a guarantee, in percent of that work: of a
+/// task, or of a whole gang.
 const MAX_LOSS_PERCENT: u64 = 100;
 
 /// Runs to stop, and the resources to reserve then.
@@ -110,12 +111,16 @@
     let own_work = work(need, u64::from(demand.step.estimate));
     let bounded = method == Method::Stop && context.rank > queue::GUARANTEED_RANK;
     let limit = if bounded { own_work.saturating_mul(MAX_LOSS_PERCENT) / 100 } else { u64::MAX };
+    let within_limit = |spent: u64, cost: u64| match demand.step.gang {
+        // All members start or none, and the first victims may free the room of several.
+        true => spent.saturating_add(cost) <= limit.saturating_mul(count as u64),
+        false => cost <= limit,
+    };
     let mut plan = Plan::default();
     let mut planned = 0;
     while planned < count {
-        let Some((cost, host)) = simulation.cheapest().filter(|(cost, _)| *cost <= limit) else {
-            break;
-        };
+        let cheapest = simulation.cheapest().filter(|(cost, _)| within_limit(plan.cost, *cost));
+        let Some((cost, host)) = cheapest else { break };
         planned += 1;
         plan.cost = plan.cost.saturating_add(cost);
         simulation.allocate(host);
--- a/tests/testsuite/dispatch_policy.rs
+++ b/tests/testsuite/dispatch_policy.rs
@@ -133,6 +133,27 @@
     assert_eq!(started, ["hi"]);
 }
 
+/// A burst of urgent gangs of whole workers meets a fleet full of wide gangs of lower rank. To stop
+/// one of them costs more than one urgent task is worth, but frees the room of all its members.
+#[test]
+fn urgent_gang_beyond_its_guarantee_stops_a_gang_that_costs_less_than_it() {
+    let mut world = filled(3, flow::gang(1, 8));
+    // The stop loses one second on each of the three workers; urgent task takes two.
+    world.submit(0, "hi", vec![flow::gang(3, 8)]);
+    world.tick(1);
+    assert_eq!(world.take_stops().len(), 3);
+}
+
+/// The same, but the gang of lower rank has run for longer than the urgent one will.
+#[test]
+fn urgent_gang_beyond_its_guarantee_spares_a_gang_that_costs_more_than_it() {
+    let mut world = filled(3, flow::gang(1, 8));
+    world.now += 2000;
+    world.submit(0, "hi", vec![flow::gang(3, 8)]);
+    world.tick(1);
+    assert_eq!(world.take_stops(), []);
+}
+
 #[test]
 fn urgent_work_beyond_its_guarantee_stops_no_long_work() {
     // Each stop loses ten seconds of work on eight accelerators, without a checkpoint.
