Show in the emulation why jobs miss their objectives

Members of a gang work at their own speeds, slowed together across racks; jobs that miss their objectives are counted by cause: waited, ran again, ran slowly.

--- a/src/emulator/fleet.rs
+++ b/src/emulator/fleet.rs
@@ -197,13 +197,16 @@
         let members = members.clone();
         let rack = |host: u32| &self.workers[host as usize].announcement.rack;
         let apart = members.iter().any(|(member, _)| rack(*member) != rack(host));
-        let slowest = members.iter().map(|(member, _)| self.workers[*member as usize].speed);
         let one_rack = self.workers[host as usize].active[&run].task.one_rack;
         let penalty = if apart && one_rack { self.rack_penalty } else { 1.0 };
-        let speed = slowest.fold(f64::INFINITY, f64::min) / penalty;
-        // The members end together, with the one that has the most work.
-        let ends: Vec<_> =
-            members.iter().map(|(member, run)| self.begin(*member, run, speed, now)).collect();
+        // Members that have completed their work wait for the others.
+        let ends: Vec<_> = members
+            .iter()
+            .map(|(member, run)| {
+                let speed = self.workers[*member as usize].speed / penalty;
+                self.begin(*member, run, speed, now)
+            })
+            .collect();
         let at = ends.iter().map(|end| end.at).max().unwrap_or(now);
         ends.into_iter().map(|end| DueEnd { at, ..end }).collect()
     }
--- a/src/emulator/load.rs
+++ b/src/emulator/load.rs
@@ -136,6 +136,8 @@
     pub run_times: Vec<Vec<f64>>,
     /// Its worth if it ends within its objective, and if it ends within three.
     pub worth: (f64, f64),
+    /// The longest chain of work on a worker of speed 1, in milliseconds.
+    pub chain: u64,
     /// The time from its submission within which it has to end, in milliseconds.
     pub objective: u64,
     /// The work, as milliseconds of whole workers.
@@ -398,6 +400,7 @@
             workflow,
             run_times,
             worth: (kind.worth * size, kind.late_worth * size),
+            chain: chain as u64,
             objective: (chain * f64::from(kind.stretch) / 1000.0) as u64 + u64::from(kind.latency),
             work,
         }
--- a/src/emulator/outcome.rs
+++ b/src/emulator/outcome.rs
@@ -18,8 +18,8 @@
     pub jobs: &'a [load::Job],
     /// The times and phases in which jobs ended, by the job's index.
     pub ended: &'a BTreeMap<usize, (u64, job::Phase)>,
-    /// The times of the first starts, by the job's index.
-    pub first_starts: &'a BTreeMap<usize, u64>,
+    /// The starts, by the job's index.
+    pub starts: &'a BTreeMap<usize, Starts>,
     /// The workers.
     pub fleet: &'a fleet::Fleet,
     /// The number of passes of the leader.
@@ -28,6 +28,26 @@
     pub decision_time: time::Duration,
 }
 
+/// The starts of a job's tasks.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Starts {
+    /// The time of the first, in milliseconds.
+    pub first: u64,
+    /// The highest number of a run.
+    pub runs: u32,
+}
+
+/// The causes for which jobs did not complete within their objectives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Misses {
+    /// No task started in the time that the objective leaves.
+    pub waited: usize,
+    /// A task had to run again.
+    pub ran_again: usize,
+    /// All started in time, but took longer: on slow workers, across racks, or one after another.
+    pub ran_slowly: usize,
+}
+
 /// The service of some jobs.
 #[derive(Clone, Debug, Default)]
 pub struct Service {
@@ -39,6 +59,8 @@
     pub late: usize,
     /// The worth that was earned, and the worth of all.
     pub worth: (f64, f64),
+    /// Why the others were not in time.
+    pub misses: Misses,
 }
 
 impl Service {
@@ -98,11 +120,11 @@
             }
             groups.push(accounts.entry(job.account).or_default());
             for group in groups {
-                group.add(job, end);
+                group.add(job, end, played.starts.get(&number));
             }
         }
         let mut waits: Vec<u64> =
-            played.first_starts.iter().map(|(job, at)| at - jobs[*job].arrives).collect();
+            played.starts.iter().map(|(job, starts)| starts.first - jobs[*job].arrives).collect();
         waits.sort_unstable();
         let percentile = |percent: usize| {
             waits.get(waits.len().saturating_sub(1) * percent / 100).copied().unwrap_or(0)
@@ -129,15 +151,27 @@
 }
 
 impl Service {
-    fn add(&mut self, job: &load::Job, end: Option<&(u64, job::Phase)>) {
+    fn add(&mut self, job: &load::Job, end: Option<&(u64, job::Phase)>, starts: Option<&Starts>) {
         self.owed += 1;
         self.worth.1 += job.worth.0;
-        let Some((at, job::Phase::Completed)) = end else { return };
-        let took = at - job.arrives;
+        let took = match end {
+            Some((at, job::Phase::Completed)) => at - job.arrives,
+            _ => u64::MAX,
+        };
         if took <= job.objective {
             self.in_time += 1;
             self.worth.0 += job.worth.0;
-        } else if took <= job.objective * USEFUL_OBJECTIVES {
+            return;
+        }
+        let slack = job.objective.saturating_sub(job.chain);
+        match starts {
+            Some(starts) if starts.first - job.arrives <= slack => match starts.runs {
+                1 => self.misses.ran_slowly += 1,
+                _ => self.misses.ran_again += 1,
+            },
+            _ => self.misses.waited += 1,
+        }
+        if took <= job.objective.saturating_mul(USEFUL_OBJECTIVES) {
             self.late += 1;
             self.worth.0 += job.worth.1;
         }
--- a/src/emulator/world.rs
+++ b/src/emulator/world.rs
@@ -72,7 +72,7 @@
     jobs: Vec<load::Job>,
     by_id: BTreeMap<String, usize>,
     ended: BTreeMap<usize, (u64, job::Phase)>,
-    first_starts: BTreeMap<usize, u64>,
+    starts: BTreeMap<usize, outcome::Starts>,
     fleet: fleet::Fleet,
     registry: registry::Registry,
     dispatch: dispatch::Dispatch,
@@ -95,7 +95,7 @@
         by_id: (0..jobs.len()).map(|number| (id(number), number)).collect(),
         jobs,
         ended: BTreeMap::new(),
-        first_starts: BTreeMap::new(),
+        starts: BTreeMap::new(),
         fleet: fleet::Fleet::new(load),
         registry,
         dispatch: leader,
@@ -112,7 +112,7 @@
         load,
         jobs: &world.jobs,
         ended: &world.ended,
-        first_starts: &world.first_starts,
+        starts: &world.starts,
         fleet: &world.fleet,
         decisions: world.decisions,
         decision_time: world.decision_time,
@@ -239,7 +239,9 @@
             order::Order::Grant { .. } => {}
             order::Order::Start(start) => {
                 let Some(number) = self.by_id.get(&start.task.id).copied() else { return };
-                self.first_starts.entry(number).or_insert(now);
+                let first = outcome::Starts { first: now, runs: 0 };
+                let starts = self.starts.entry(number).or_insert(first);
+                starts.runs = starts.runs.max(start.run);
                 let task = self.task(number, &start);
                 for end in self.fleet.start(&start, task, now) {
                     self.schedule(end.at, Event::End(end));
