Let a long urgent job stop others only up to its share

Cause: while other jobs wait, long tasks beyond a guarantee take at most half of a pool; alone in the queue they take all. So the urgent job stopped lower tasks whenever nothing else waited; those then waited, took the room that its own ends freed, and were stopped again.

Change: beyond its share such a job takes what is free, but stops nothing.

--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -39,6 +39,8 @@
     job: &'a job::Job,
     waiting: queue::WaitingStep,
     demand: fit::Demand<'a>,
+    /// The number of tasks that may start while other jobs wait.
+    share: usize,
 }
 
 impl Turn<'_> {
@@ -141,9 +143,10 @@
                 continue;
             }
             let demand = self.demand(&mut pass, registry, job, &waiting, now);
-            let turn = Turn { job, waiting, demand };
+            let turn = Turn { job, waiting, demand, share: usize::MAX };
             let limit = self.start_limit(&pass, turn, single_job);
             let allowed = &indices[..limit.min(indices.len())];
+            let turn = Turn { share: self.start_limit(&pass, turn, false), ..turn };
             let placed = self.place_step(registry, &mut pass, turn, allowed, now);
             self.record_placed(&turn, placed.len(), indices.len(), now);
             placements.extend(placed);
@@ -213,7 +216,12 @@
         }
         let reserved = reservation.is_some();
         if turn.is_urgent() {
-            if !reserved && self.preempt_for(registry, pass, turn, &candidates, rest.len(), now) {
+            // What is stopped waits from then on, and the step could not start beyond its share.
+            let count = rest.len().min(turn.share.saturating_sub(placed.len()));
+            if !reserved
+                && count > 0
+                && self.preempt_for(registry, pass, turn, &candidates, count, now)
+            {
                 return placed;
             }
             placed.extend(self.place_tasks(pass, turn, &mut candidates, rest, false, now));
@@ -248,7 +256,7 @@
         strict: bool,
         now: Timestamp,
     ) -> Vec<command::Placement> {
-        let Turn { job, waiting, demand } = turn;
+        let Turn { job, waiting, demand, .. } = turn;
         let reservation =
             self.reservations.get(&waiting.first_task).filter(|reservation| reservation.preempting);
         let preempted = |candidate: &fit::Candidate| {
--- a/tests/testsuite/dispatch_policy.rs
+++ b/tests/testsuite/dispatch_policy.rs
@@ -133,6 +133,31 @@
     assert_eq!(started, ["hi"]);
 }
 
+/// A wide urgent job of long tasks is alone in the queue. It takes what is free, but stops others
+/// only up to half of the pool: what it stopped would wait beside it, take the room that its own
+/// ends free, and be stopped again a moment later.
+#[rstest::rstest]
+#[case::with_free_workers(3, 5, 0)]
+#[case::with_a_full_pool(5, 3, 2)]
+fn long_urgent_job_stops_others_up_to_its_share(
+    #[case] low: u32,
+    #[case] urgent: u32,
+    #[case] stopped: usize,
+) {
+    let mut world = flow::World::with_workers(5);
+    world.submit(2, "low", vec![model::Step { checkpoints: true, ..flow::step(low, 8) }]);
+    world.tick(1);
+    let starts = world.take_starts();
+    assert_eq!(starts.len(), low as usize);
+    world.now += 1000;
+    for (host, task, run) in starts {
+        world.report(flow::worker(host, 1), &[(task, run, 10)], &[]);
+    }
+    world.submit(0, "hi", vec![model::Step { estimate: 8000, ..flow::step(urgent, 8) }]);
+    world.tick(1);
+    assert_eq!(world.take_stops().len(), stopped);
+}
+
 /// A burst of urgent gangs of whole workers meets a fleet full of wide gangs of lower rank. To stop
 /// one of them costs more than one urgent task is worth, but frees the room of all its members.
 #[test]
