--- a/src/core/dispatch/leader.rs
+++ b/src/core/dispatch/leader.rs
@@ -276,7 +276,8 @@
         self.decide(registry, now);
     }
 
-    /// Returns whether anything has changed since the last pass that may let a waiting step start.
+    /// Returns whether [`Self::decide`] would pass over the queue: something has changed since the
+    /// last pass that may let a waiting step start.
     pub fn is_changed(&self) -> bool {
         self.changed
     }
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -39,7 +39,7 @@
     job: &'a job::Job,
     waiting: queue::WaitingStep,
     demand: fit::Demand<'a>,
-    /// The number of tasks that may start while other jobs wait.
+    /// The number of tasks that may start if other jobs wait, and for which others may be stopped.
     share: usize,
 }
 
--- a/src/emulator/load.rs
+++ b/src/emulator/load.rs
@@ -23,7 +23,7 @@
 /// The part of a job's worth that does not depend on its work.
 const BASE_WORTH: f64 = 0.3;
 
-/// A distribution of sizes: log-normal, cut off at `max`.
+/// A log-normal distribution, cut off at `max`.
 #[derive(Clone, Copy, Debug)]
 pub struct Spread {
     /// The mean.
@@ -49,7 +49,7 @@
     pub run_time: Spread,
     /// The numbers of accelerators that a task may need, each as likely as the others.
     pub accelerators: Vec<u32>,
-    /// The processor and memory that a task needs.
+    /// The processor time that a task needs, in thousandths of a core.
     pub cpu: u32,
     /// The memory that a task needs, in MB.
     pub memory: u32,
@@ -147,7 +147,8 @@
 impl Load {
     /// Returns a load like that of a cooperative that rebuilds rounds, drafts messages and tidies
     /// records: wide gangs of middle rank, many small urgent gangs, and wide steps of single tasks.
-    /// `factor` scales the rates; at 1 the jobs' work is about what the workers can do.
+    /// `factor` scales the rates; at 1, the work of the jobs is about what the workers can do while
+    /// they arrive.
     pub fn cooperative(workers: u32, factor: f64) -> Self {
         let spread = |mean, deviation, max| Spread { mean, deviation, max };
         let rebuild = Kind {
--- a/src/emulator/world.rs
+++ b/src/emulator/world.rs
@@ -12,6 +12,7 @@
 use crate::core::time::Tick;
 use crate::core::time::Wall;
 use crate::core::workflow::command;
+use crate::core::workflow::directory;
 use crate::core::workflow::job;
 use crate::core::workflow::model;
 use crate::core::workflow::registry;
@@ -31,7 +32,7 @@
 /// The time between two passes of the leader, in milliseconds; it also decides after each change.
 const TICK_INTERVAL: u64 = 100;
 
-/// The number of failures of a run, drawn from its name, that this many runs share.
+/// The resolution with which the share of failing runs is drawn.
 const FAILURE_STEPS: u64 = 10_000;
 
 #[derive(Debug, PartialEq, Eq)]
@@ -275,7 +276,7 @@
         self.carry_out();
     }
 
-    fn queue(&self, number: usize) -> crate::core::workflow::directory::Queue {
+    fn queue(&self, number: usize) -> directory::Queue {
         self.load.directory().queues.swap_remove(self.jobs[number].kind)
     }
 
