Bound the spacing of passes by a tick

Passes after changes are spaced by four times what the last one took. A leader that is paused for seconds within a pass took the pause for the pass's cost, and decided only every 100 ms for four times as long. The spacing is now at most one tick; the test states it for a short pass, a long one and a pause of 8 s.

--- a/src/control/dispatch_loop.rs
+++ b/src/control/dispatch_loop.rs
@@ -47,6 +47,12 @@
     }
 }
 
+/// Returns the least time from the begin of a pass to the next one after a change. A process that
+/// was paused within a pass must not wait for a multiple of the pause.
+pub fn pass_spacing(took: time::Duration) -> time::Duration {
+    took.saturating_mul(PASS_SPACING).min(TICK_INTERVAL)
+}
+
 async fn run(proposer: proposer::Proposer, mut stopped: oneshot::Receiver<()>) {
     let shared = proposer.shared.clone();
     let mut pending = Pending::new();
@@ -84,7 +90,7 @@
             }
             let took = started.elapsed();
             names::observe(names::DECISION_SECONDS, took);
-            next_pass = started + took * PASS_SPACING;
+            next_pass = started + pass_spacing(took);
         }
         for effect in dispatch.take_effects() {
             perform(&proposer, dispatch, effect, &mut pending);
--- a/tests/testsuite/dispatch_pass.rs
+++ b/tests/testsuite/dispatch_pass.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use hemlockcleat::control::dispatch_loop;
 use hemlockcleat::core::dispatch::fit;
 use hemlockcleat::core::dispatch::fleet;
 use hemlockcleat::core::dispatch::order;
@@ -93,6 +94,16 @@
     assert_eq!(started, ["bb"]);
 }
 
+/// A leader that was paused for seconds in the middle of a pass decides as quickly as before.
+#[rstest::rstest]
+#[case::short_pass(1, 4)]
+#[case::long_pass(60, 100)]
+#[case::paused(8000, 100)]
+fn passes_are_spaced_by_at_most_a_tick(#[case] took: u64, #[case] spacing: u64) {
+    let took = std::time::Duration::from_millis(took);
+    assert_eq!(dispatch_loop::pass_spacing(took).as_millis(), u128::from(spacing));
+}
+
 fn resources(rng: &mut ChaCha8Rng, limit: u32) -> order::Resources {
     let mut below = |limit: u32| rng.next_u32() % limit.max(1);
     order::Resources {
