--- a/review/stand/src/scenarios.rs
+++ b/review/stand/src/scenarios.rs
@@ -11,8 +11,11 @@
 use crate::record::Record;
 use crate::worker::{Seen, Worker};
 
+mod beside;
+mod drain;
 mod ends;
 mod lasting;
+mod long;
 mod reclaim;
 mod refused;
 
@@ -23,6 +26,9 @@
         "ends" => ends::run(record, trouble),
         "lasting" => lasting::run(record, trouble),
         "reclaim" => reclaim::run(record, trouble),
+        "beside" => beside::run(record, trouble),
+        "long" => long::run(record, trouble),
+        "drain" => drain::run(record, trouble),
         "refused" => refused::run(record, trouble),
         _ => Err(format!("there is no scenario {name}")),
     }
