--- a/review/stand/src/scenarios/refused.rs
+++ b/review/stand/src/scenarios/refused.rs
@@ -2,14 +2,15 @@
 //! queue. Each client sends its job once.
 
 use std::collections::BTreeMap;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Barrier, Mutex};
 
 use super::*;
 use crate::deployment::{Signal, signal};
 
-const ROUNDS: u64 = 6;
-const CLIENTS: u64 = 16;
+const ROUNDS: u64 = 8;
+const CLIENTS: u64 = 48;
+/// The length of each job's spec, in bytes.
+const SPEC_BYTES: usize = 3500;
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Result {
     let prefixes: Vec<String> = (0..=ROUNDS).map(|round| format!("/q{round}/")).collect();
@@ -21,7 +22,7 @@
         if !deployment.wait_ready(Duration::from_secs(12)) {
             return Err("no leader is found any more".to_owned());
         }
-        sleep(3000);
+        sleep(1500);
     }
     sleep(3000);
     let statuses = statuses.into_inner().map_err(|error| error.to_string())?;
@@ -57,33 +58,33 @@
 ) -> std::result::Result<(), String> {
     let prefix = all[round as usize].0;
     let next = config(round + 2, &all[round as usize + 1..], &[KEY]);
-    let (sent, stop) = (AtomicU64::new(0), AtomicBool::new(false));
+    let spec = format!("work 50 {}", "x".repeat(SPEC_BYTES));
+    let body = json!({"spec": spec, "phases": [
+        {"count": 1, "cpu": 10, "memMb": 1, "estimatedMs": 50}]});
+    let body = body.to_string();
+    let begin = Barrier::new(CLIENTS as usize + 1);
     let mut started = Ok(());
     thread::scope(|scope| {
         for number in 0..CLIENTS {
             let entry = deployment.entry_addr(number as usize % deployment.entries.len());
-            let (record, sent, stop) = (deployment.record.clone(), &sent, &stop);
+            let (record, begin, body) = (deployment.record.clone(), &begin, &body);
             scope.spawn(move || {
-                while !stop.load(Ordering::SeqCst) {
-                    let id = format!("{:016x}", (round << 32) + sent.fetch_add(1, Ordering::SeqCst));
-                    let path = format!("{prefix}{id}");
-                    let body = r#"{"spec":"work 50","phases":[{"count":1,"cpu":10,"memMb":1,"estimatedMs":50}]}"#;
-                    let status = client(entry, "POST", &path, body).map_or(0, |answer| answer.status);
-                    record.line(format!("client POST {path} to {entry}: {status}"));
-                    statuses.lock().unwrap().insert(id, status);
-                    sleep(10);
-                }
+                let id = format!("{:016x}", (round << 32) + number);
+                let path = format!("{prefix}{id}");
+                begin.wait();
+                let status = client(entry, "POST", &path, body).map_or(0, |answer| answer.status);
+                record.line(format!("client POST {path} to {entry}: {status}"));
+                statuses.lock().unwrap().insert(id, status);
             });
         }
-        sleep(100);
         let ids: Vec<u32> = deployment.controls.iter().map(Deployment::pid).collect();
+        begin.wait();
         let operator = scope.spawn(move || deployment.configure(&next, Duration::from_secs(15)));
-        thread::sleep(Duration::from_micros(400 + round * 300));
+        thread::sleep(Duration::from_micros(1000 + round * 500));
         if trouble {
             signal(&ids, Signal::Kill);
             deployment.record.say(format!("round {round}: all control processes are killed"));
         }
-        stop.store(true, Ordering::SeqCst);
         sleep(300);
         if trouble {
             started = (0..3).try_for_each(|index| deployment.restart_control(index));
