--- a/review/stand/src/deployment.rs
+++ b/review/stand/src/deployment.rs
@@ -105,6 +105,13 @@
         Ok(deployment)
     }
 
+    /// Starts a machine's process again; a control process has its disk.
+    pub fn restart(&self, node: &Node) -> Result<(), String> {
+        end(node);
+        let role = node.name.split('-').next().unwrap_or_default();
+        self.spawn(node, role, false)
+    }
+
     /// Starts a control process again, which has its disk.
     pub fn restart_control(&self, index: usize) -> Result<(), String> {
         end(&self.controls[index]);
@@ -217,8 +224,7 @@
         while Instant::now() < until {
             let addr = self.control_addr(index % 3);
             index += 1;
-            let answer =
-                http::call(addr, "PUT", "/-/config", &[], &body, Duration::from_secs(1));
+            let answer = http::call(addr, "PUT", "/-/config", &[], &body, Duration::from_secs(1));
             let status = answer.as_ref().map_or(0, |answer| answer.status);
             if status > 0 {
                 self.record.line(format!(
@@ -302,12 +308,7 @@
 }
 
 /// Sends a client's call to an entry.
-pub fn client(
-    entry: SocketAddr,
-    method: &str,
-    path: &str,
-    body: &str,
-) -> Option<http::Response> {
+pub fn client(entry: SocketAddr, method: &str, path: &str, body: &str) -> Option<http::Response> {
     client_with(KEY, entry, method, path, body)
 }
 
--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -89,7 +89,8 @@
     Some((first, String::from_utf8(body).ok()?))
 }
 
-/// A handler of requests: (method, path, body) to (status, body).
+/// A handler of requests: (method, path, body) to (status, body); status 0 breaks the connection
+/// off.
 pub type Handler = Arc<dyn Fn(&str, &str, &str) -> (u16, String) + Send + Sync>;
 
 /// Serves requests, each connection on a thread of its own.
@@ -112,6 +113,9 @@
         let mut words = first.split_whitespace();
         let (method, path) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
         let (status, answer) = handler(method, path, &body);
+        if status == 0 {
+            return;
+        }
         let text = format!(
             "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}",
             answer.len()
--- a/review/stand/src/scenarios.rs
+++ b/review/stand/src/scenarios.rs
@@ -15,9 +15,13 @@
 mod drain;
 mod ends;
 mod lasting;
+mod lives;
 mod long;
+mod malformed;
+mod paused;
 mod reclaim;
 mod refused;
+mod stale;
 
 type Result = std::result::Result<Outcome, String>;
 
@@ -29,6 +33,12 @@
         "beside" => beside::run(record, trouble),
         "long" => long::run(record, trouble),
         "drain" => drain::run(record, trouble),
+        "late-delete" => lives::late_delete(record, trouble),
+        "clock-back" => lives::clock_back(record, trouble),
+        "outbid" => lives::outbid(record, trouble),
+        "paused" => paused::run(record, trouble),
+        "malformed" => malformed::run(record, trouble),
+        "stale" => stale::run(record, trouble),
         "refused" => refused::run(record, trouble),
         _ => Err(format!("there is no scenario {name}")),
     }
@@ -102,9 +112,9 @@
 }
 
 fn all_seen(workers: &[Arc<Worker>]) -> Vec<(String, Seen)> {
-    let seen = workers.iter().flat_map(|worker| {
-        worker.seen().into_iter().map(|seen| (worker.id.clone(), seen))
-    });
+    let seen = workers
+        .iter()
+        .flat_map(|worker| worker.seen().into_iter().map(|seen| (worker.id.clone(), seen)));
     seen.collect()
 }
 
--- a/review/stand/src/scenarios/lasting.rs
+++ b/review/stand/src/scenarios/lasting.rs
@@ -19,13 +19,18 @@
     let mut broken = Vec::new();
     for index in 0..2 {
         let task = format!("00000000000000b1.0.0.{index}");
-        let runs: Vec<&Seen> = seen.iter().map(|(_, seen)| seen).filter(|seen| seen.task == task).collect();
+        let runs: Vec<&Seen> =
+            seen.iter().map(|(_, seen)| seen).filter(|seen| seen.task == task).collect();
         let last = runs.iter().filter_map(|seen| seen.ended).max().unwrap_or(0);
         let runs_now = runs.iter().any(|seen| seen.ended.is_none());
         let away = record.now().saturating_sub(last);
-        record.say(format!("{task}: {} runs, runs now: {runs_now}, last end {away} ms ago", runs.len()));
+        record.say(format!(
+            "{task}: {} runs, runs now: {runs_now}, last end {away} ms ago",
+            runs.len()
+        ));
         if !runs_now && away > 9000 {
-            broken.push(format!("{task} has had no run for {away} ms; the job is shown as {shown}"));
+            broken
+                .push(format!("{task} has had no run for {away} ms; the job is shown as {shown}"));
         }
     }
     deployment.stop();
--- a/review/stand/src/worker.rs
+++ b/review/stand/src/worker.rs
@@ -71,8 +71,10 @@
     pub pool: String,
     pub rack: String,
     pub cpu: u64,
-    born: u64,
-    clock: Instant,
+    /// The start of its life: by its steady clock, and as a Unix time in milliseconds.
+    life: Mutex<(Instant, u64)>,
+    /// Whether its process is gone.
+    down: AtomicBool,
     sequence: Mutex<u64>,
     pub draining: AtomicBool,
     /// Whether heartbeats are sent by the worker's own loop.
@@ -99,8 +101,8 @@
             pool: pool.to_owned(),
             rack: rack.to_owned(),
             cpu: 32_000,
-            born,
-            clock: Instant::now(),
+            life: Mutex::new((Instant::now(), born)),
+            down: AtomicBool::new(false),
             sequence: Mutex::new(0),
             draining: AtomicBool::new(false),
             beats: AtomicBool::new(true),
@@ -120,7 +122,7 @@
         let beating = worker.clone();
         thread::spawn(move || {
             loop {
-                if beating.beats.load(Ordering::SeqCst) {
+                if beating.beats.load(Ordering::SeqCst) && !beating.down.load(Ordering::SeqCst) {
                     beating.beat();
                 }
                 thread::sleep(Duration::from_millis(BEAT_MS));
@@ -130,7 +132,33 @@
     }
 
     fn now(&self) -> u64 {
-        self.clock.elapsed().as_millis() as u64
+        self.life.lock().unwrap().0.elapsed().as_millis() as u64
+    }
+
+    pub fn born(&self) -> u64 {
+        self.life.lock().unwrap().1
+    }
+
+    /// Ends the process: what runs is gone, and calls break off.
+    pub fn crash(&self) {
+        self.down.store(true, Ordering::SeqCst);
+        let mut state = self.state.lock().unwrap();
+        let at = self.record.now();
+        for seen in state.seen.iter_mut().filter(|seen| seen.ended.is_none()) {
+            (seen.ended, seen.how) = (Some(at), "crashed".to_owned());
+        }
+        let seen = std::mem::take(&mut state.seen);
+        *state = State { seen, ..State::default() };
+        self.record.line(format!("{} crashes", self.id));
+    }
+
+    /// Starts the process again under its id, with this start; it knows nothing of before.
+    pub fn start_again(&self, born: u64) {
+        *self.life.lock().unwrap() = (Instant::now(), born);
+        *self.sequence.lock().unwrap() = 0;
+        self.draining.store(false, Ordering::SeqCst);
+        self.down.store(false, Ordering::SeqCst);
+        self.record.line(format!("{} starts again, born {born}", self.id));
     }
 
     /// Returns path and body of the next heartbeat.
@@ -143,7 +171,7 @@
             "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0,
             "capacity": {"cpu": self.cpu, "memMb": 131_072, "gpus": GPUS},
             "labels": ["a", self.rack], "clockMs": self.now(), "sequence": *sequence,
-            "born": self.born,
+            "born": self.born(),
         });
         if state == "draining" {
             beat["remainingMs"] = 2000.into();
@@ -169,6 +197,9 @@
     }
 
     fn tick(&self) {
+        if self.down.load(Ordering::SeqCst) {
+            return;
+        }
         let mut state = self.state.lock().unwrap();
         let now = self.now();
         if now > state.deadline && !state.lapsed {
@@ -213,6 +244,10 @@
         if method == "GET" {
             return (200, "{}".to_owned());
         }
+        if self.down.load(Ordering::SeqCst) {
+            // The connection is closed without an answer.
+            return (0, String::new());
+        }
         let body: Value = serde_json::from_str(body).unwrap_or_default();
         match path {
             "/-/run-start" => self.run_start(&body),
@@ -223,11 +258,11 @@
     }
 
     fn refuse(&self, reason: &str) -> (u16, String) {
-        (409, json!({"clockMs": self.now(), "born": self.born, "reason": reason}).to_string())
+        (409, json!({"clockMs": self.now(), "born": self.born(), "reason": reason}).to_string())
     }
 
     fn accept(&self) -> (u16, String) {
-        (200, json!({"clockMs": self.now(), "born": self.born}).to_string())
+        (200, json!({"clockMs": self.now(), "born": self.born()}).to_string())
     }
 
     /// Checks the fencing token of a call.
@@ -385,7 +420,7 @@
             ));
         }
         let lists = json!({
-            "clockMs": now, "born": self.born, "running": running, "finished": finished,
+            "clockMs": now, "born": self.born(), "running": running, "finished": finished,
         });
         (200, lists.to_string())
     }
