--- a/review/stand/src/deployment.rs
+++ b/review/stand/src/deployment.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -15,6 +16,9 @@
 
 const PROGRAM: &str = "target/release/hemlockcleat-platform";
 
+/// The option of `prctl` that names the signal which a process gets when its parent ends.
+const PARENT_DEATH_SIGNAL: i32 = 1;
+
 /// The ids of all processes that run, to be ended whatever happens.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -35,6 +39,7 @@
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: usize) -> i32;
 }
 
 /// Sends a signal to processes that this program has started.
@@ -191,7 +196,7 @@
                 "contactMs": 3000, "ackTimeoutMs": 4000, "drainTimeoutMs": 2000,
                 "gracePeriodS": 6, "configApplyMs": 2000, "maxHoldMs": 10_000,
                 "stopTimeoutMs": 400, "gangTimeoutMs": 3000, "cancel_ms": 3000,
-                "visible_ms": 3000, "finish_s": 14, "revokeMs": 5000
+                "visible_ms": 3000, "finish_s": 14, "revokeMs": 5000, "reclaimMs": 2900
             },
         });
         let file = self.folder.join(format!("{}.json", node.name));
@@ -202,7 +207,15 @@
             .open(self.folder.join(format!("{}.log", node.name)))
             .map_err(|error| error.to_string())?;
         let metrics = (self.port + 10).to_string();
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        // SAFETY: the call takes two numbers and is allowed between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PARENT_DEATH_SIGNAL, Signal::Kill as usize);
+                Ok(())
+            });
+        }
+        let child = command
             .args(["--metrics", &metrics, role])
             .env("HEMLOCKCLEAT_NODE_FILE", &file)
             .stdin(Stdio::null())
@@ -221,6 +234,7 @@
         let until = Instant::now() + timeout;
         let body = config.to_string();
         let mut index = 0;
+        let mut back_off = 50;
         while Instant::now() < until {
             let addr = self.control_addr(index % 3);
             index += 1;
@@ -235,7 +249,8 @@
             if status == 200 {
                 return true;
             }
-            thread::sleep(Duration::from_millis(20));
+            thread::sleep(Duration::from_millis(back_off));
+            back_off = (back_off * 2).min(1000);
         }
         false
     }
@@ -257,8 +272,12 @@
         })
     }
 
-    /// Ends all processes and removes the temporary folder, which `KEEP` retains.
-    pub fn stop(self) {
+    /// Ends all processes and removes the temporary folder.
+    pub fn stop(self) {}
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
         self.controls.iter().chain(&self.entries).chain(&self.agents).for_each(end);
         if std::env::var_os("KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
