Take nothing from what a list of ends that is cut short lacks

Cause: a worker lists 500 ends at a time. A run beyond them was taken for one that had never started: the new leader ordered it again, the worker refused that as old, the agent had it stopped, and closed it by the next list, which lacked it too. So the task was placed again, while its end was still to come.

Such a list closes no stopped run, has no start ordered again and gives up no run of an earlier incarnation. The acknowledgement of its ends brings up the others, so that the next list decides.

The simulated worker lists 500 ends at a time, as the protocol says.

--- a/src/core/dispatch/order.rs
+++ b/src/core/dispatch/order.rs
@@ -8,6 +8,15 @@
 use crate::core::workflow::model;
 use crate::macros;
 
+/// The most ends that a worker lists at a time; it lists the others once these are acknowledged.
+pub const MAX_LISTED_ENDS: usize = 500;
+
+/// Returns whether a list of ends may be truncated. A run that is missing from the lists may then
+/// have ended, with any outcome.
+pub fn is_truncated(finished: &[Finished]) -> bool {
+    finished.len() >= MAX_LISTED_ENDS
+}
+
 macros::value_types! {
     /// The properties that a worker announces.
     #[derive(bincode::Encode, bincode::Decode)]
@@ -44,7 +53,8 @@
         pub fresh: bool,
         /// The active runs on the worker.
         pub running: Vec<Running>,
-        /// The runs that ended on the worker and whose ends are not acknowledged yet.
+        /// The runs that ended on the worker and whose ends are not acknowledged yet, at most
+        /// [`MAX_LISTED_ENDS`].
         pub finished: Vec<Finished>,
     }
 
--- a/src/core/dispatch/report.rs
+++ b/src/core/dispatch/report.rs
@@ -10,6 +10,7 @@
 use crate::core::workflow::command;
 use crate::core::workflow::model;
 use crate::core::workflow::registry;
+use crate::macros;
 
 /// The time for which a run may be missing from its worker's lists before its order is resent.
 const RESEND_MISSING_AFTER: time::Millis = time::Millis(1500);
@@ -22,6 +23,18 @@
 /// that draining workers must give.
 const DEFAULT_DRAIN: time::Millis = time::Millis(2000);
 
+macros::copy_types! {
+    /// What a worker's lists tell about a run that was placed there.
+    pub(super) enum Presence {
+        /// They name the run.
+        Listed,
+        /// The run hasn't started, or is over.
+        Missing,
+        /// They don't name the run, whose end may be among those that the list lacks.
+        Unknown,
+    }
+}
+
 impl leader::Dispatch {
     /// Handles a report of an agent.
     pub fn report(
@@ -92,15 +105,23 @@
         };
         self.effects.push(order::Effect::Order(host, grant));
         let mut listed = BTreeSet::new();
+        let absent = match order::is_truncated(&report.finished) {
+            true => Presence::Unknown,
+            false => Presence::Missing,
+        };
         self.running(registry, host, incarnation, report.running, &mut listed, now);
         self.finished(registry, host, incarnation, report.finished, &mut listed, now);
-        self.resend_orders(registry, host, incarnation, &listed, now);
+        let presence = |key: &model::RunKey| match listed.contains(key) {
+            true => Presence::Listed,
+            false => absent,
+        };
+        self.resend_orders(registry, host, incarnation, presence, now);
         self.acknowledge_ends(host);
     }
 
     /// Ends the runs of earlier incarnations of a worker, except those that the current one lists:
     /// a start that was sent to an earlier incarnation may have been carried out by the current
-    /// one.
+    /// one. Truncated lists end no run.
     fn carry_over_runs(
         &mut self,
         registry: &registry::Registry,
@@ -122,6 +143,7 @@
         let running = report.running.iter().map(|entry| (&entry.task, entry.run));
         let finished = report.finished.iter().map(|entry| (&entry.task, entry.run));
         let listed: BTreeSet<_> = running.chain(finished).collect();
+        let truncated = order::is_truncated(&report.finished);
         let listed = |key: &model::RunKey| {
             let name = registry.jobs.get(&key.task.job).map(|job| leader::task_name(job, key.task));
             name.is_some_and(|name| listed.contains(&(&name, key.run)))
@@ -135,6 +157,7 @@
                 match run.state {
                     runs::State::Proposed | runs::State::Ending => continue,
                     _ if listed(&key) => run.incarnation = incarnation,
+                    _ if truncated => {}
                     _ => {
                         lost.push(key);
                         continue;
@@ -275,13 +298,13 @@
         registry: &registry::Registry,
         host: u32,
         incarnation: model::Incarnation,
-        listed: &BTreeSet<model::RunKey>,
+        presence: impl Fn(&model::RunKey) -> Presence,
         now: Timestamp,
     ) {
         let Some(worker) = self.workers.get(&host) else { return };
         let is_due = |key: &&model::RunKey| {
             let run = self.runs.get(key).filter(|run| run.incarnation == incarnation);
-            run.is_some_and(|run| is_due(run, listed.contains(key), now.tick))
+            run.is_some_and(|run| is_due(run, presence(key), now.tick))
         };
         let due: Vec<_> = worker.allocated.keys().filter(is_due).copied().collect();
         for key in due {
@@ -336,19 +359,19 @@
     }
 }
 
-/// Returns whether the order on a run has to be resent after a report; `listed` tells whether the
-/// report lists the run.
-fn is_due(run: &runs::Run, listed: bool, now: time::Tick) -> bool {
-    let is_missing =
-        |ordered: time::Tick| !listed && ordered.max(run.last_seen) + RESEND_MISSING_AFTER <= now;
+/// Returns whether the order on a run has to be resent after a report.
+fn is_due(run: &runs::Run, presence: Presence, now: time::Tick) -> bool {
+    let is_overdue = |ordered: time::Tick| ordered.max(run.last_seen) + RESEND_MISSING_AFTER <= now;
     match (run.state, run.ordered_at) {
         (runs::State::Stopping, None) => true,
-        (runs::State::Stopping, Some(at)) if listed => at + RESEND_STOP_AFTER <= now,
-        (runs::State::Ordered, None) => !listed,
-        (runs::State::Running, None) => is_missing(run.last_seen),
-        (runs::State::Ordered | runs::State::Running | runs::State::Stopping, Some(at)) => {
-            is_missing(at)
+        (runs::State::Stopping, Some(at)) if presence == Presence::Listed => {
+            at + RESEND_STOP_AFTER <= now
         }
+        (runs::State::Stopping, Some(at)) => is_overdue(at),
+        (runs::State::Ordered | runs::State::Running, _) if presence != Presence::Missing => false,
+        (runs::State::Ordered, None) => true,
+        (runs::State::Running, None) => is_overdue(run.last_seen),
+        (runs::State::Ordered | runs::State::Running, Some(at)) => is_overdue(at),
         (runs::State::Proposed | runs::State::Ending, _) => false,
     }
 }
--- a/src/runner/agent/poll.rs
+++ b/src/runner/agent/poll.rs
@@ -121,10 +121,8 @@
         let running = names(&listing);
         let before = worker.listing.as_ref().map(|(listing, _)| names(listing));
         let changed = before.as_ref() != Some(&running) || !listing.finished.is_empty();
-        let mut listed = running;
-        listed.extend(listing.finished.iter().map(|entry| (entry.task.clone(), entry.run)));
         let poll = closing::Poll { number: request.number, sent_at: request.sent_at };
-        let closed = worker.closing.listed(poll, &listed, listing.partial);
+        let closed = worker.closing.listed(poll, &listing);
         let incarnation = worker.announcement.incarnation;
         worker.listing = Some((listing, request));
         if changed {
--- a/src/runner/backend.rs
+++ b/src/runner/backend.rs
@@ -17,7 +17,8 @@
         pub started: Option<u64>,
         /// The runs in progress.
         pub running: Vec<order::Running>,
-        /// The ended runs whose ends are not acknowledged yet.
+        /// The ended runs whose ends are not acknowledged yet, at most
+        /// [`order::MAX_LISTED_ENDS`], those that ended first.
         pub finished: Vec<order::Finished>,
         /// Whether some rows couldn't be attributed to a run, so that a missing run may be among
         /// them.
--- a/src/runner/closing.rs
+++ b/src/runner/closing.rs
@@ -4,12 +4,17 @@
 //! their own. Only a poll that was sent after the stop was answered shows a list without the run
 //! that is final: an earlier poll may have been answered before the start took effect. Polls are
 //! therefore numbered; times are too coarse, as all of this may happen within a millisecond.
+//!
+//! A worker with many ends lists only the first of them. A run that such a list lacks may have
+//! ended, even as done, and stays open until a list that isn't truncated shows it or lacks it.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::core::dispatch::order;
 use crate::core::time;
 use crate::core::workflow::model;
+use crate::runner::backend;
 
 /// The time after the answer to a stop by which the run has certainly ended, also if the lists
 /// can't tell: a stop takes 400 ms.
@@ -60,23 +65,28 @@
     }
 
     /// Removes the runs about which a listing is conclusive, and returns those that it lacks: they
-    /// have ended or will never start. A `partial` listing may lack runs that are in progress.
-    pub fn listed(
-        &mut self,
-        poll: Poll,
-        listed: &BTreeSet<RunName>,
-        partial: bool,
-    ) -> Vec<RunName> {
+    /// have ended and their ends are acknowledged, or they will never start.
+    pub fn listed(&mut self, poll: Poll, listing: &backend::Listing) -> Vec<RunName> {
+        if self.runs.is_empty() {
+            return Vec::new();
+        }
+        let running = listing.running.iter().map(|entry| (&entry.task, entry.run));
+        let finished = listing.finished.iter().map(|entry| (&entry.task, entry.run));
+        let listed: BTreeSet<_> = running.chain(finished).collect();
+        let truncated = order::is_truncated(&listing.finished);
         let mut closed = Vec::new();
         self.runs.retain(|run, stopped| {
             if poll.number <= stopped.last_poll {
                 return true;
             }
             // The leader orders a run that is still in progress to stop again.
-            if listed.contains(run) {
+            if listed.contains(&(&run.0, run.1)) {
                 return false;
             }
-            if partial && stopped.answered_at + MAX_STOP_TIME > poll.sent_at {
+            if truncated {
+                return true;
+            }
+            if listing.partial && stopped.answered_at + MAX_STOP_TIME > poll.sent_at {
                 return true;
             }
             closed.push(run.clone());
--- a/tests/testsuite/dispatch_workers.rs
+++ b/tests/testsuite/dispatch_workers.rs
@@ -112,11 +112,12 @@
             checkpoint: String::new(),
             percent: run.percent(now),
         });
+        let ends = self.ends.iter().take(order::MAX_LISTED_ENDS);
         backend::Listing {
             clock: self.clock(now),
             started: Some(self.incarnation.started),
             running: running.collect(),
-            finished: self.ends.iter().take(500).map(|end| end.entry.clone()).collect(),
+            finished: ends.map(|end| end.entry.clone()).collect(),
             partial: false,
         }
     }
--- a/tests/testsuite/support/worker.rs
+++ b/tests/testsuite/support/worker.rs
@@ -65,6 +65,9 @@
     }
 }
 
+/// The number of runs that a worker has room for unless told otherwise.
+const ROOM: u32 = 8;
+
 /// The longest lease that a worker accepts, in milliseconds.
 pub const MAX_LEASE_MS: u64 = 4000;
 
@@ -90,6 +93,8 @@
     clock_start: cell::Cell<time::Instant>,
     /// How long each run takes.
     pub run_time: cell::Cell<time::Duration>,
+    /// How many runs it has room for.
+    pub room: cell::Cell<u32>,
     runs: cell::RefCell<BTreeMap<model::TaskName, Run>>,
     /// The highest run number of each task that has ended on this worker.
     last_ended: cell::RefCell<BTreeMap<model::TaskName, u32>>,
@@ -132,6 +137,7 @@
             checker: checker.clone(),
             clock_start: cell::Cell::new(time::Instant::now()),
             run_time: cell::Cell::new(run_time),
+            room: cell::Cell::new(ROOM),
             runs: cell::RefCell::default(),
             last_ended: cell::RefCell::default(),
             finished: cell::RefCell::default(),
@@ -171,6 +177,13 @@
         self.finished.borrow().len()
     }
 
+    /// Lets all runs end as done.
+    pub fn complete_runs(&self) {
+        let now = time::Instant::now();
+        self.runs.borrow_mut().values_mut().for_each(|run| run.ends = now);
+        self.advance();
+    }
+
     /// Returns whether one of the unacknowledged ends is that of a stopped run.
     pub fn has_stopped(&self) -> bool {
         self.advance();
@@ -312,7 +325,7 @@
             return refused("old");
         }
         let used_slots: u32 = self.runs.borrow().values().map(|run| run.slots).sum();
-        if used_slots + 1 > 8 {
+        if used_slots + 1 > self.room.get() {
             return refused("room");
         }
         self.checker.started(self.host, &launch.task);
@@ -350,6 +363,7 @@
     fn listing(&self) -> backend::Listing {
         self.advance();
         let runs = self.runs.borrow();
+        let ends = self.finished.borrow();
         let shown = runs.iter().filter(|_| !self.hides_runs.get());
         let running = shown.map(|(task, run)| order::Running {
             task: task.clone(),
@@ -361,7 +375,7 @@
             clock: if self.clock_jumps.take() { FAR_CLOCK_MS } else { self.clock() },
             started: Some(self.incarnation_start.get()),
             running: running.collect(),
-            finished: self.finished.borrow().clone(),
+            finished: ends.iter().take(order::MAX_LISTED_ENDS).cloned().collect(),
             partial: self.unreadable_row.get() || self.hides_runs.get(),
         }
     }
