Refuse no call whose earlier send may have taken effect

Cause: a gate sends a call again when its session ends without a reply, and passed on the refusal of the repeated call. That one was decided by the newest configuration; the first send was in the log, accepted under the one before.

Evidence: E220 why=no queue for the repeated call, no E211 of the job, and E515 and E218 of its task and end, with the job's number from before the kill.

Change: gate::Link::call, which all calls pass, takes a refusal by the configuration (no queue, no credential, no configuration) for no answer if an earlier send of the call may have taken effect; the caller gets 502 and may send it again. Reads, and refusals that hold for each send alike, are passed on as before. E409 logs each refusal that is withheld.

--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -3,6 +3,9 @@
 //! The processes that serve callers and operators hold one link each. A call is retried with the
 //! same identifiers until it is decided or times out. Every call is idempotent, since the registry
 //! holds one job per caller's identifier and one configuration per version.
+//!
+//! A refusal by the configuration holds for the send that it replies to. An earlier send of the same
+//! call may have been decided by an earlier configuration, so the call remains without an answer.
 
 use std::cell;
 use std::collections::BTreeMap;
@@ -103,6 +106,11 @@
     }
 
     /// Calls the leader and retries until the call is decided. `timeout` covers all retries.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Unanswered`] after the timeout, and if a retry is refused by the configuration while
+    /// an earlier send may have taken effect.
     pub async fn call(
         &self,
         body: wire::Call,
@@ -111,11 +119,16 @@
         let deadline = tokio::time::Instant::now() + timeout;
         let mut unanswered = Unanswered { sent: false };
         loop {
+            let in_doubt = unanswered.sent && !body.is_read();
             let attempt =
                 tokio::time::timeout_at(deadline, self.exchange(body.clone(), &mut unanswered));
             match attempt.await {
                 Ok(Some(wire::Reply::Undecided(false))) => {}
                 Ok(Some(wire::Reply::Undecided(true))) => unanswered.sent = true,
+                Ok(Some(reply)) if in_doubt && reply.depends_on_configuration() => {
+                    log_withheld(&body, &reply);
+                    return Err(unanswered);
+                }
                 Ok(Some(reply)) => return Ok(reply),
                 Ok(None) => {}
                 Err(_) => return Err(unanswered),
@@ -148,6 +161,14 @@
     }
 }
 
+/// Logs that a call remains without an answer because its refusal may not hold for an earlier send.
+fn log_withheld(body: &wire::Call, refusal: &wire::Reply) {
+    let (host, path) =
+        body.target().map_or(("", ""), |target| (target.host.as_str(), target.path.as_str()));
+    let why = refusal.label();
+    event::entry::REFUSAL_WITHHELD.log(format_args!("host={host} path={path} why=\"{why}\""));
+}
+
 /// Finds the leader and serves a session, repeatedly, until the link stops.
 async fn maintain(link: rc::Rc<Link>) {
     let mut delay = DISCOVERY_BACK_OFF.0;
--- a/src/telemetry/event/entry.rs
+++ b/src/telemetry/event/entry.rs
@@ -13,6 +13,7 @@
     ACCESS_REFUSED,
     REPLY_MISMATCH,
     CALL_ANSWERED,
+    REFUSAL_WITHHELD,
 ];
 
 /// The entry is connected to the leading control replica.
@@ -33,3 +34,6 @@
 pub const REPLY_MISMATCH: Event = Event::new(407, log::Level::Error, "reply does not fit");
 /// A call on a workflow was answered; the details give the outcome.
 pub const CALL_ANSWERED: Event = Event::new(408, log::Level::Info, "call answered");
+/// A repeated call was refused by the configuration while an earlier send may have taken effect; the
+/// caller gets no answer.
+pub const REFUSAL_WITHHELD: Event = Event::new(409, log::Level::Info, "refusal withheld");
--- a/src/wire/gate.rs
+++ b/src/wire/gate.rs
@@ -119,7 +119,31 @@
     }
 }
 
+impl Call {
+    /// Returns the target of a call on a queue or job.
+    pub fn target(&self) -> Option<&Target> {
+        match self {
+            Self::Submit(target, _) | Self::Show(target) | Self::Cancel(target) => Some(target),
+            Self::Configure(_) | Self::Configuration => None,
+        }
+    }
+
+    /// Returns whether the call changes nothing.
+    pub fn is_read(&self) -> bool {
+        match self {
+            Self::Show(_) | Self::Configuration => true,
+            Self::Submit(..) | Self::Cancel(_) | Self::Configure(_) => false,
+        }
+    }
+}
+
 impl Reply {
+    /// Returns whether the call was refused by the configuration of that moment, so that the same
+    /// call may have been accepted earlier.
+    pub fn depends_on_configuration(&self) -> bool {
+        matches!(self, Self::NoConfiguration | Self::NoQueue | Self::NoCredential)
+    }
+
     /// Returns a label of one or two words for logs.
     pub fn label(&self) -> &'static str {
         match self {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod entry_process;
 mod full_disks;
 mod gang;
+mod gate;
 mod lease;
 mod ledger;
 mod limit;
