Send no end of an attempt without its answer

What callers saw: after a change of leader some requests that had run ended with the verdict "ran" and "0 of 86 bytes came" instead of their answers.

Cause: a new leader orders the start of all released attempts again. An agent whose attempt had ended answered with the bare end. Only Member::report sends the answer's bytes first; control refuses an end whose bytes are missing, for good.

Change: an order to start or stop an attempt that has ended is answered through Member::report.

Tests: agent_state::order_after_the_end_is_answered_with_the_answer (start and stop) fails without the change and passes with it.

--- a/src/agent/state/gangs.rs
+++ b/src/agent/state/gangs.rs
@@ -138,7 +138,7 @@
                     }));
                 }
             }
-            task::Phase::Ended(result) => out.push(ended(attempt, result.clone())),
+            task::Phase::Ended(_) => member.report(now, out),
         }
     }
 
@@ -166,7 +166,7 @@
     ) {
         match self.members.get_mut(&attempt) {
             Some(member) => match member.phase() {
-                task::Phase::Ended(result) => out.push(ended(attempt, result.clone())),
+                task::Phase::Ended(_) => member.report(now, out),
                 _ => member.halt(now, task::Cause::Ordered, grace, out),
             },
             None => {
--- a/tests/testsuite/agent_state.rs
+++ b/tests/testsuite/agent_state.rs
@@ -423,6 +423,28 @@
     assert!(unknown(harness.ended()) && harness.starts() == 0);
 }
 
+/// A new leader doesn't know that the attempt has ended. It accepts the end only after the bytes of
+/// the answer.
+#[rstest]
+#[case::start(start(1))]
+#[case::stop(stop(0))]
+fn order_after_the_end_is_answered_with_the_answer(#[case] order: agent::ServerMessage) {
+    let mut harness = Harness::new();
+    harness.run();
+    harness.watched(done());
+    let meta = common::AnswerMeta { length: 3, sha256: [7; 32] };
+    let fetched = state::FetchOutcome::Complete(meta.clone());
+    harness.input(state::Input::Fetched(task(0).attempt, fetched));
+    harness.input(state::Input::Disconnected);
+    harness.input(state::Input::Connected);
+    harness.receive(order);
+    assert!(
+        matches!(&harness.out[..], [state::Output::Deliver { meta: sent, .. }] if *sent == meta),
+        "the end was sent without the answer: {:?}",
+        harness.out
+    );
+}
+
 #[rstest]
 #[case::bad(state::FetchOutcome::Invalid("crossed".to_owned()), false)]
 #[case::lost(state::FetchOutcome::Lost("gone".to_owned()), true)]
