--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -10,6 +10,7 @@
 use crate::worker::{Seen, Worker};
 use crate::{job, pause, route, secs, wait};
 
+mod config;
 mod drain;
 mod lasting;
 mod queue;
@@ -21,6 +22,7 @@
         "lasting-reclaim" => lasting::reclaim(folder, trouble),
         "late-heartbeat" => drain::late_heartbeat(folder, trouble),
         "pending" => queue::pending(folder, trouble),
+        "config-bytes" => config::bytes(folder, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     }
 }
--- a/review/stand-2/src/http.rs
+++ b/review/stand-2/src/http.rs
@@ -74,7 +74,7 @@
 }
 
 /// The bytes of a request on a connection of its own.
-pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Vec<u8> {
+pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("{method} {path} HTTP/1.1\r\nConnection: close\r\n");
     if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
         text += "Host: local\r\n";
@@ -82,9 +82,10 @@
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
     }
-    text +=
-        &format!("Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-    text.into_bytes()
+    text += &format!("Content-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
 }
 
 /// Makes one call on a connection of its own. Returns the status and the body.
@@ -93,7 +94,7 @@
     method: &str,
     path: &str,
     headers: &[(&str, &str)],
-    body: &str,
+    body: &[u8],
     limit: Duration,
 ) -> io::Result<(u16, Message)> {
     let end = Instant::now() + limit;
--- a/review/stand-2/src/site.rs
+++ b/review/stand-2/src/site.rs
@@ -152,6 +152,37 @@
 
     /// Sends a configuration until it is acknowledged.
     pub fn configure(&mut self, routes: Value, limit: Duration) -> bool {
+        let config = self.configuration(routes).to_string();
+        let end = Instant::now() + limit;
+        let mut machine = 1;
+        while Instant::now() < end {
+            if self.put_config(machine, config.as_bytes()) == Some(200) {
+                return true;
+            }
+            machine = machine % 3 + 1;
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        false
+    }
+
+    /// Sends a configuration to one machine once. Returns the status of the answer.
+    pub fn put_config(&mut self, machine: u8, config: &[u8]) -> Option<u16> {
+        let addr = self.addr(machine, CONTROL);
+        let sent = http::call(addr, "PUT", "/-/config", &[], config, Duration::from_secs(1));
+        let status = sent.ok().map(|(status, _)| status);
+        record::line(format!("PUT /-/config at control-{machine}: {status:?}"));
+        status
+    }
+
+    /// Reads the configuration at one machine.
+    pub fn read_config(&self, machine: u8) -> Option<(u16, Vec<u8>)> {
+        let addr = self.addr(machine, CONTROL);
+        let sent = http::call(addr, "GET", "/-/config", &[], b"", Duration::from_secs(1));
+        sent.ok().map(|(status, message)| (status, message.body))
+    }
+
+    /// The next configuration, with these routes.
+    pub fn configuration(&mut self, routes: Value) -> Value {
         self.version += 3;
         let mut backends: Vec<String> = routes
             .as_array()
@@ -168,34 +199,14 @@
                     "protocol": "h1", "tls": false, "enforcesCapacity": true, "standby": false })
             })
             .collect();
-        let config = json!({
+        json!({
             "version": self.version, "routes": routes, "services": services,
             "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
             "tenants": [
                 { "name": "one", "apiKeys": [KEY], "priority": 1, "guaranteedGpus": { "gpus": 8 } },
                 { "name": "two", "apiKeys": [KEY_TWO], "priority": 1 },
             ],
-        });
-        let end = Instant::now() + limit;
-        let mut machine = 1;
-        while Instant::now() < end {
-            let addr = self.addr(machine, CONTROL);
-            let sent = http::call(
-                addr,
-                "PUT",
-                "/-/config",
-                &[],
-                &config.to_string(),
-                Duration::from_secs(1),
-            );
-            if let Ok((200, _)) = sent {
-                record::line(format!("configuration {} is acknowledged", self.version));
-                return true;
-            }
-            machine = machine % 3 + 1;
-            std::thread::sleep(Duration::from_millis(200));
-        }
-        false
+        })
     }
 
     /// Makes a client's call, at one entry after the other until one gives a clear answer.
@@ -218,7 +229,8 @@
             let headers =
                 [("Host", HOST), ("Authorization", token.as_str()), ("X-Deadline-Ms", "3000")];
             let addr = self.addr(machine, FRONTEND);
-            let answer = http::call(addr, method, path, &headers, body, Duration::from_secs(3));
+            let answer =
+                http::call(addr, method, path, &headers, body.as_bytes(), Duration::from_secs(3));
             match answer {
                 Ok((status, message)) if ![502, 503, 504].contains(&status) => {
                     let text = String::from_utf8_lossy(&message.body).into_owned();
--- a/review/stand-2/src/worker.rs
+++ b/review/stand-2/src/worker.rs
@@ -388,7 +388,11 @@
             body["remainingMs"] = (left.as_millis() as u64).into();
         }
         let path = format!("/-/instances/{}", self.0.id);
-        (state.sequence, state.draining, http::request("PUT", &path, &[], &body.to_string()))
+        (
+            state.sequence,
+            state.draining,
+            http::request("PUT", &path, &[], body.to_string().as_bytes()),
+        )
     }
 
     /// Sends a heartbeat to the agent on its machine and returns whether it was acknowledged.
@@ -421,7 +425,7 @@
     /// Announces that the worker leaves, and ends it.
     pub fn leave(&self) {
         let path = format!("/-/instances/{}", self.0.id);
-        self.send(&http::request("DELETE", &path, &[], ""));
+        self.send(&http::request("DELETE", &path, &[], b""));
         record::line(format!("{} leaves", self.0.id));
         self.crash();
     }
