--- a/review/stand-2/src/cases.rs
+++ b/review/stand-2/src/cases.rs
@@ -10,19 +10,19 @@
 use crate::worker::{Seen, Worker};
 use crate::{job, pause, route, secs, wait};
 
+mod cancel;
 mod config;
-mod drain;
+mod guarantee;
 mod lasting;
 mod queue;
 
 pub fn run(case: &str, folder: &Path, trouble: bool) -> Verdict {
     match case {
-        "lasting-crash" => lasting::crash(folder, trouble),
         "lasting-done" => lasting::done(folder, trouble),
-        "lasting-reclaim" => lasting::reclaim(folder, trouble),
-        "late-heartbeat" => drain::late_heartbeat(folder, trouble),
         "pending" => queue::pending(folder, trouble),
         "config-bytes" => config::bytes(folder, trouble),
+        "late-cancel" => cancel::late(folder, trouble),
+        "guarantee-moved" => guarantee::moved(folder, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     }
 }
@@ -35,14 +35,23 @@
 
 impl Bed {
     fn start(folder: &Path, workers: u8, routes: Value) -> Result<Self, Verdict> {
+        Self::start_with(folder, workers, routes, (8, 0))
+    }
+
+    /// Like [`Bed::start`], with these guarantees of the two tenants.
+    fn start_with(
+        folder: &Path,
+        workers: u8,
+        routes: Value,
+        guarantees: (u32, u32),
+    ) -> Result<Self, Verdict> {
         let mut site = Site::start(folder, workers);
+        site.guarantees = guarantees;
         let workers = (0..workers)
             .map(|number| {
                 let (agent, addr) = site.side(number);
                 let (name, rack) = (format!("w-{number}"), format!("r1-{}", number / 3));
-                // The first worker is of another kind than the others.
-                let kind = if number == 0 { "b" } else { "a" };
-                Worker::start(&name, "service-1", addr, agent, (kind, &rack))
+                Worker::start(&name, "service-1", addr, agent, ("a", &rack))
             })
             .collect();
         if !site.configure(routes, secs(20)) {
--- a/review/stand-2/src/site.rs
+++ b/review/stand-2/src/site.rs
@@ -36,10 +36,13 @@
     pub processes: Vec<Process>,
     next_entry: usize,
     version: u64,
+    /// The guaranteed GPUs of the two tenants in the next configuration.
+    pub guarantees: (u32, u32),
 }
 
 impl Site {
-    /// Starts three machines with a control replica and an entry, and `agents` with an agent.
+    /// Starts three machines with a control replica and an entry, one with an entry alone, and
+    /// `agents` with an agent.
     pub fn start(folder: &Path, agents: u8) -> Self {
         let net = free_net();
         let mut site = Self {
@@ -48,11 +51,13 @@
             processes: Vec::new(),
             next_entry: 0,
             version: 0,
+            guarantees: (8, 0),
         };
         for machine in 1..=3 {
             site.launch("control", machine, true);
             site.launch("entry", machine, true);
         }
+        site.launch("entry", 4, true);
         for number in 0..agents {
             site.launch("agent", 11 + number, true);
         }
@@ -139,6 +144,18 @@
         self.processes.push(Process { role, machine, child: Some(child) });
     }
 
+    /// Sends a signal to a process.
+    pub fn signal(&mut self, role: &str, machine: u8, signal: &str) {
+        let known =
+            self.processes.iter_mut().find(|known| (known.role, known.machine) == (role, machine));
+        let Some(child) = known.and_then(|known| known.child.as_mut()) else { return };
+        record::line(format!("{role}-{machine} gets SIG{signal}"));
+        let _ = Command::new("kill").args([format!("-{signal}"), child.id().to_string()]).status();
+        if signal == "KILL" {
+            let _ = child.wait();
+        }
+    }
+
     /// The processes that have ended by themselves.
     pub fn ended(&mut self) -> Vec<String> {
         let mut ended = Vec::new();
@@ -203,8 +220,8 @@
             "version": self.version, "routes": routes, "services": services,
             "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
             "tenants": [
-                { "name": "one", "apiKeys": [KEY], "priority": 1, "guaranteedGpus": { "gpus": 8 } },
-                { "name": "two", "apiKeys": [KEY_TWO], "priority": 1 },
+                { "name": "one", "apiKeys": [KEY], "priority": 1, "guaranteedGpus": { "gpus": self.guarantees.0 } },
+                { "name": "two", "apiKeys": [KEY_TWO], "priority": 1, "guaranteedGpus": { "gpus": self.guarantees.1 } },
             ],
         })
     }
@@ -214,6 +231,26 @@
         self.call_as(KEY, method, path, body)
     }
 
+    /// Makes a client's call at one entry, once. Returns the status of the answer.
+    pub fn call_once(
+        &self,
+        machine: u8,
+        method: &str,
+        path: &str,
+        body: &str,
+        limit: Duration,
+    ) -> Option<u16> {
+        let token = format!("Token {KEY}");
+        let headers =
+            [("Host", HOST), ("Authorization", token.as_str()), ("X-Deadline-Ms", "3000")];
+        let addr = self.addr(machine, FRONTEND);
+        let answer = http::call(addr, method, path, &headers, body.as_bytes(), limit);
+        let status = answer.ok().map(|(status, _)| status);
+        let text = status.map_or("no answer".to_owned(), |status| status.to_string());
+        record::line(format!("{method} {path} at entry-{machine}: {text}"));
+        status
+    }
+
     /// Like [`Site::call`], with another key.
     pub fn call_as(
         &mut self,
@@ -268,7 +305,7 @@
         let ports = [7000, 7101, 7102, FRONTEND, READINESS, CONTROL, APP];
         let free =
             |machine: u8| ports.iter().all(|port| TcpListener::bind((ip(machine), *port)).is_ok());
-        if (1..=3).chain(11..=18).all(free) {
+        if (1..=4).chain(11..=18).all(free) {
             return net;
         }
     }
--- a/review/stand-2/src/worker.rs
+++ b/review/stand-2/src/worker.rs
@@ -48,7 +48,6 @@
 #[derive(Default)]
 struct State {
     dead: bool,
-    draining: bool,
     fence: u64,
     deadline: u64,
     running: BTreeMap<String, Run>,
@@ -59,10 +58,6 @@
     over: BTreeMap<String, u32>,
     seen: Vec<Seen>,
     sequence: u64,
-    drain_end: Option<Instant>,
-    drain_acknowledged: Option<u64>,
-    /// How long the next heartbeat is held up on its way.
-    hold_next: Option<Duration>,
 }
 
 /// A worker. Clones are the same worker.
@@ -150,13 +145,6 @@
         let _ = TcpStream::connect_timeout(&self.0.addr, Duration::from_millis(200));
     }
 
-    /// The worker reports from now on that it drains.
-    pub fn drain(&self, left: Duration) {
-        let mut state = self.lock();
-        state.draining = true;
-        state.drain_end = Some(Instant::now() + left);
-    }
-
     /// Ends the run in progress of a task, as the task does by itself.
     pub fn end_task(&self, task: &str, how: &str) -> bool {
         let mut state = self.lock();
@@ -371,32 +359,23 @@
     }
 
     /// The next heartbeat, with the next sequence number.
-    pub fn heartbeat(&self) -> (u64, bool, Vec<u8>) {
+    fn heartbeat(&self) -> (u64, Vec<u8>) {
         let mut state = self.lock();
         state.sequence += 1;
         let [cpu, memory, gpus] = self.0.capacity;
-        let name = if state.draining { "draining" } else { "ready" };
-        let mut body = json!({
+        let body = json!({
             "backend": self.0.backend, "address": self.0.addr.to_string(), "zone": self.0.zone,
-            "version": "v1", "slots": 8, "state": name, "coldRemainingMs": 0,
+            "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
             "capacity": { "cpu": cpu, "memMb": memory, "gpus": gpus },
             "labels": [self.0.kind, self.0.rack], "clockMs": self.clock(), "born": self.0.born,
             "sequence": state.sequence,
         });
-        if let Some(end) = state.drain_end {
-            let left = end.saturating_duration_since(Instant::now());
-            body["remainingMs"] = (left.as_millis() as u64).into();
-        }
         let path = format!("/-/instances/{}", self.0.id);
-        (
-            state.sequence,
-            state.draining,
-            http::request("PUT", &path, &[], body.to_string().as_bytes()),
-        )
+        (state.sequence, http::request("PUT", &path, &[], body.to_string().as_bytes()))
     }
 
     /// Sends a heartbeat to the agent on its machine and returns whether it was acknowledged.
-    pub fn send(&self, bytes: &[u8]) -> bool {
+    fn send(&self, bytes: &[u8]) -> bool {
         let sent = || -> std::io::Result<u16> {
             let mut stream = TcpStream::connect_timeout(&self.0.agent, ACK_LIMIT)?;
             stream.set_read_timeout(Some(ACK_LIMIT))?;
@@ -407,72 +386,17 @@
         sent().is_ok_and(|status| status == 200)
     }
 
-    /// The next heartbeat is held up on its way for this long, and then still arrives.
-    pub fn hold_next(&self, delay: Duration) {
-        self.lock().hold_next = Some(delay);
-    }
-
-    /// The number of the last heartbeat.
-    pub fn sequence(&self) -> u64 {
-        self.lock().sequence
-    }
-
-    /// When the drain was first acknowledged, on the clock of the record.
-    pub fn drain_acknowledged(&self) -> Option<u64> {
-        self.lock().drain_acknowledged
-    }
-
-    /// Announces that the worker leaves, and ends it.
-    pub fn leave(&self) {
-        let path = format!("/-/instances/{}", self.0.id);
-        self.send(&http::request("DELETE", &path, &[], b""));
-        record::line(format!("{} leaves", self.0.id));
-        self.crash();
-    }
-
     fn beat(&self) {
-        let mut next = Instant::now();
-        let mut was_draining = false;
-        loop {
-            let (dead, draining) = {
-                let state = self.lock();
-                (state.dead, state.draining)
-            };
-            if dead {
-                return;
-            }
-            if Instant::now() >= next || draining != was_draining {
-                was_draining = draining;
-                next = Instant::now() + HEARTBEAT;
-                let (sequence, draining, bytes) = self.heartbeat();
-                if let Some(delay) = self.lock().hold_next.take() {
-                    record::line(format!("{} heartbeat {sequence} is held up", self.0.id));
-                    let worker = self.clone();
-                    thread::spawn(move || {
-                        thread::sleep(delay);
-                        let arrived = worker.send(&bytes);
-                        record::line(format!(
-                            "{} heartbeat {sequence} (late, draining {draining}) arrives: {arrived}",
-                            worker.0.id
-                        ));
-                    });
-                    // Without an answer within a second, a heartbeat is not acknowledged.
-                    thread::sleep(ACK_LIMIT);
-                    continue;
-                }
-                let acknowledged = self.send(&bytes);
-                if acknowledged && draining {
-                    self.lock().drain_acknowledged.get_or_insert(record::now());
-                }
-                if draining || sequence <= 2 {
-                    let state = if draining { "draining" } else { "ready" };
-                    record::line(format!(
-                        "{} heartbeat {sequence} {state}: acknowledged {acknowledged}",
-                        self.0.id
-                    ));
-                }
+        while !self.lock().dead {
+            let (sequence, bytes) = self.heartbeat();
+            let acknowledged = self.send(&bytes);
+            if sequence <= 2 {
+                record::line(format!(
+                    "{} heartbeat {sequence}: acknowledged {acknowledged}",
+                    self.0.id
+                ));
             }
-            thread::sleep(Duration::from_millis(10));
+            thread::sleep(HEARTBEAT);
         }
     }
 }
