--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -16,7 +16,7 @@
     rm -rf "$folder"
 }
 trap clean EXIT
-timeout -k 2 115 "$stand" lasting-reclaim "$here/record.txt" "$folder"
+timeout -k 2 115 "$stand" guarantee-moved "$here/record.txt" "$folder"
 code=$?
 case $code in
 0 | 1) exit $code ;;
