--- a/review/stand-2/src/site.rs
+++ b/review/stand-2/src/site.rs
@@ -96,7 +96,7 @@
             "ip": self.ip(machine).to_string(), "zone": zone, "region": "region-1",
             "zones": { "zone-1": "region-1", "zone-2": "region-1", "zone-3": "region-1" },
             "listenAddrs": listen, "internalPortRange": [7000, 7015], "seeds": seeds,
-            "bootstrap": bootstrap, "lossCounts": !is_side,
+            "bootstrap": bootstrap, "lossCounts": !is_side && machine <= 3,
             "dataDir": if role == "control" { json!(data) } else { Value::Null },
             "discovery": "local", "entrypoint": "vip", "heartbeatIntervalMs": 1500,
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "tenants", "advice", "upkeep", "sharing"],
@@ -172,12 +172,14 @@
         let config = self.configuration(routes).to_string();
         let end = Instant::now() + limit;
         let mut machine = 1;
+        let mut back_off = Duration::from_millis(100);
         while Instant::now() < end {
             if self.put_config(machine, config.as_bytes()) == Some(200) {
                 return true;
             }
             machine = machine % 3 + 1;
-            std::thread::sleep(Duration::from_millis(200));
+            std::thread::sleep(back_off);
+            back_off *= 2;
         }
         false
     }
--- a/review/stand-2/src/worker.rs
+++ b/review/stand-2/src/worker.rs
@@ -235,6 +235,10 @@
         }
         let body = request.json();
         let mut state = self.lock();
+        if state.dead {
+            // A worker that has crashed carries nothing out; `serve` sends no answer.
+            return (503, json!({}));
+        }
         self.advance(&mut state);
         let (status, mut answer) = match request.word(1) {
             "/-/run-start" => self.run_start(&mut state, &body),
