--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -18,7 +18,11 @@
     rm -rf "$folder"
 }
 trap clean EXIT
-timeout -k 2 115 "$stand" pending "$here/record.txt" "$folder"
+timeout -k 2 115 "$stand" pending "$here/record.txt" "$folder" &
+running=$!
+# A script that is ended early ends the stand-in too, and by the trap above all that it has started.
+trap 'kill -TERM "$running" 2>/dev/null; wait "$running"; exit 2' TERM INT
+wait "$running"
 code=$?
 case $code in
 0 | 1) exit $code ;;
