Remember the cancel of a job that is not known yet

What callers saw: a client handed a job in at a frozen entry, gave up, and cancelled the job at another entry, which answered 410.

Cause: a submission and its cancel may arrive in either order. The registry took the cancel of an unknown job for nothing, and accepted the submission that came after it.

Evidence: 410 is the outcome of a committed Cancel, so the cancel had reached the registry; the first task started 38 ms after the entry was thawed.

Change: the registry keeps such a cancel, by queue and identifier, for as long as it keeps ended jobs. A submission that comes after it is a job that is cancelled from the start. E212 is logged for them too, with known=false.

--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -180,7 +180,7 @@
         let outcome = self.propose(command::Command::Workflow(cancel)).await?;
         Ok(match outcome {
             outcome::Outcome::Workflow(_) => {
-                event::control::JOB_CANCELLED.log(format_args!("id={id} by=operator"));
+                event::control::JOB_CANCELLED.log(format_args!("id={id} known=true by=operator"));
                 workflow_reply(&self.proposer.shared.ledger.borrow(), number)
             }
             outcome::Outcome::Refused(refusal) => entry::Reply::Refused(refusal.into()),
--- a/src/control/gate_session.rs
+++ b/src/control/gate_session.rs
@@ -245,11 +245,11 @@
     let id = target.id.clone();
     let command = workflow::command::Command::Cancel(target.queue.address(), target.id);
     match propose(proposer, command).await {
-        Ok(workflow::command::Outcome::Applied) => {
-            event::control::JOB_CANCELLED.log(format_args!("id={id}"));
-            gate::Reply::Cancelled
+        Ok(outcome) => {
+            let known = outcome == workflow::command::Outcome::Applied;
+            event::control::JOB_CANCELLED.log(format_args!("id={id} known={known}"));
+            if known { gate::Reply::Cancelled } else { gate::Reply::NoJob }
         }
-        Ok(_) => gate::Reply::NoJob,
         Err(reply) => reply,
     }
 }
--- a/src/core/workflow/command.rs
+++ b/src/core/workflow/command.rs
@@ -13,7 +13,8 @@
         Configure(directory::Directory),
         /// Accept a job.
         Submit(Submission),
-        /// Cancel the job with this queue address and caller's identifier.
+        /// Cancel the job with this queue address and caller's identifier, also if it is submitted
+        /// only later.
         Cancel(String, String),
         /// Place runs of tasks on workers.
         Place(Vec<Placement>),
--- a/src/core/workflow/registry.rs
+++ b/src/core/workflow/registry.rs
@@ -10,7 +10,8 @@
 use crate::core::workflow::job;
 use crate::core::workflow::model;
 
-/// The time that an ended job and its identifier stay known: callers resend and ask for minutes.
+/// The time that an ended job, its identifier and the cancel of an unknown job stay known: callers
+/// resend and ask for minutes, and an entry may be suspended with a submission that it has read.
 pub const RETENTION: time::Millis = time::Millis::from_secs(3600);
 
 /// The replicated state of workflows.
@@ -26,6 +27,11 @@
     active: BTreeSet<ids::JobKey>,
     /// Ended jobs, ordered by when they ended.
     by_end: BTreeSet<(u64, ids::JobKey)>,
+    /// The times of cancels whose job was unknown, by queue address and caller's identifier. Such a
+    /// job never runs, should its submission still arrive.
+    early_cancels: BTreeMap<(String, String), u64>,
+    /// The keys of `early_cancels`, ordered by time.
+    by_cancel: BTreeSet<(u64, (String, String))>,
 }
 
 impl Registry {
@@ -96,8 +102,36 @@
         self.jobs.insert(key, job);
     }
 
-    /// Removes the jobs that ended longer than [`RETENTION`] before `at`.
+    /// The cancels of unknown jobs: queue address, caller's identifier and time.
+    pub fn early_cancels(&self) -> impl Iterator<Item = (&str, &str, u64)> {
+        let cancels = self.early_cancels.iter();
+        cancels.map(|((queue, id), at)| (queue.as_str(), id.as_str(), *at))
+    }
+
+    /// Inserts the cancel of an unknown job, either new or from a snapshot.
+    pub fn restore_cancel(&mut self, queue: String, id: String, at: u64) {
+        self.remove_cancel(&queue, &id);
+        let name = (queue, id);
+        self.by_cancel.insert((at, name.clone()));
+        self.early_cancels.insert(name, at);
+    }
+
+    /// Removes the cancel of an unknown job. Returns whether there was one.
+    fn remove_cancel(&mut self, queue: &str, id: &str) -> bool {
+        let name = (queue.to_owned(), id.to_owned());
+        let Some(at) = self.early_cancels.remove(&name) else { return false };
+        self.by_cancel.remove(&(at, name))
+    }
+
+    /// Removes the jobs that ended, and the cancels of unknown jobs that came, longer than
+    /// [`RETENTION`] before `at`.
     fn expire(&mut self, at: time::Wall) {
+        while let Some((cancelled, _)) = self.by_cancel.first()
+            && time::Wall(*cancelled) + RETENTION <= at
+            && let Some((_, name)) = self.by_cancel.pop_first()
+        {
+            self.early_cancels.remove(&name);
+        }
         while let Some((ended, key)) = self.by_end.first().copied() {
             if time::Wall(ended) + RETENTION > at {
                 return;
@@ -140,8 +174,12 @@
             return command::Outcome::Accepted(known.0);
         }
         let key = ids::JobKey(index.0);
+        let is_cancelled = self.remove_cancel(&submission.queue, &submission.id);
         self.restore(key, job::Job::new(submission, at.0));
         events.push(command::Event::Submitted(key));
+        if is_cancelled {
+            self.finish_job(at, key, job::Phase::Cancelled, events);
+        }
         command::Outcome::Accepted(key.0)
     }
 
@@ -152,7 +190,10 @@
         id: &str,
         events: &mut Vec<command::Event>,
     ) -> command::Outcome {
-        let Some(key) = self.find(queue, id) else { return command::Outcome::Unknown };
+        let Some(key) = self.find(queue, id) else {
+            self.restore_cancel(queue.to_owned(), id.to_owned(), at.0);
+            return command::Outcome::Unknown;
+        };
         if self.jobs[&key].is_active() {
             self.finish_job(at, key, job::Phase::Cancelled, events);
             events.push(command::Event::Stopping(key));
--- a/src/telemetry/event/control.rs
+++ b/src/telemetry/event/control.rs
@@ -54,7 +54,7 @@
 pub const AGENT_DISCONNECTED: Event = Event::new(210, log::Level::Info, "agent's session ended");
 /// A workflow is accepted and durable.
 pub const JOB_ACCEPTED: Event = Event::new(211, log::Level::Info, "job accepted");
-/// A workflow is cancelled, or had already ended.
+/// A workflow is cancelled, had already ended, or is not known yet.
 pub const JOB_CANCELLED: Event = Event::new(212, log::Level::Info, "job cancelled");
 /// A configuration of workflows is durable, or superseded by a higher version.
 pub const CONFIGURED: Event = Event::new(213, log::Level::Info, "configuration accepted");
--- a/src/wire/snapshot.rs
+++ b/src/wire/snapshot.rs
@@ -45,6 +45,9 @@
         pub directory: Option<workflow::directory::Directory>,
         /// The workflows by key.
         pub workflows: Vec<(u64, workflow::job::Job)>,
+        /// The cancels of unknown workflows: (queue address, caller's identifier, time in ms since
+        /// 1970).
+        pub early_cancels: Vec<(String, String, u64)>,
     }
 
     /// The stored form of a [`tickets::Record`].
@@ -139,6 +142,7 @@
     fn from(ledger: &state::Ledger) -> Self {
         let jobs = ledger.table.jobs.iter();
         let workflows = ledger.workflows.jobs.iter();
+        let cancels = ledger.workflows.early_cancels();
         Self {
             now: ledger.now.0,
             config: ledger.config.clone().into(),
@@ -163,6 +167,7 @@
             reports: ledger.reports.iter().map(|(key, (n, at))| (*key, *n, at.0)).collect(),
             directory: ledger.workflows.directory.clone(),
             workflows: workflows.map(|(key, job)| (key.0, job.clone())).collect(),
+            early_cancels: cancels.map(|(q, id, at)| (q.to_owned(), id.to_owned(), at)).collect(),
         }
     }
 }
@@ -315,6 +320,9 @@
         for (key, job) in wire.workflows {
             ledger.workflows.restore(ids::JobKey(key), job);
         }
+        for (queue, id, at) in wire.early_cancels {
+            ledger.workflows.restore_cancel(queue, id, at);
+        }
         Ok(ledger)
     }
 }
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -8,6 +8,7 @@
 use hemlockcleat::core::workflow::directory;
 use hemlockcleat::core::workflow::job;
 use hemlockcleat::core::workflow::model;
+use hemlockcleat::core::workflow::registry;
 use hemlockcleat::wire::codec;
 use hemlockcleat::wire::snapshot;
 
@@ -157,6 +158,39 @@
     assert_eq!(world.apply(unknown), command::Outcome::Unknown);
 }
 
+/// Guards against a cancelled job that starts after all: its submission was held up on the way and
+/// reached the registry after the cancel.
+#[test]
+fn submission_after_its_cancel_starts_nothing() {
+    let mut world = flow::World::with_workers(1);
+    let queue = flow::queue(1).address();
+    let cancel = command::Command::Cancel(queue, "aa".to_owned());
+    assert_eq!(world.apply(cancel), command::Outcome::Unknown);
+    let cancelled = world.submit(1, "aa", vec![flow::step(1, 1)]);
+    let elsewhere = world.submit(2, "aa", vec![flow::step(1, 1)]);
+    let other = world.submit(1, "bb", vec![flow::step(1, 1)]);
+    world.tick(1);
+    assert_eq!(phase(&world, cancelled), job::Phase::Cancelled);
+    assert_eq!(world.submit(1, "aa", vec![flow::step(1, 1)]), cancelled, "it remains one job");
+    assert_eq!(phase(&world, elsewhere), job::Phase::Running, "the cancel names another queue");
+    assert_eq!(phase(&world, other), job::Phase::Running);
+    assert_eq!(world.take_starts().len(), 2);
+}
+
+#[test]
+fn cancel_of_an_unknown_job_expires_after_the_retention() {
+    let mut world = flow::World::default();
+    let queue = flow::queue(1).address();
+    for id in ["aa", "bb"] {
+        world.apply(command::Command::Cancel(queue.clone(), id.to_owned()));
+        world.now += registry::RETENTION.0 / 2 + 1;
+    }
+    let expired = world.submit(1, "aa", vec![flow::step(1, 1)]);
+    let kept = world.submit(1, "bb", vec![flow::step(1, 1)]);
+    assert_eq!(phase(&world, expired), job::Phase::Pending);
+    assert_eq!(phase(&world, kept), job::Phase::Cancelled);
+}
+
 #[test]
 fn checkpoint_of_a_member_is_valid_for_its_gang() {
     let mut world = flow::World::default();
@@ -234,7 +268,7 @@
     let job = world.submit(1, "aa", vec![flow::step(1, 1)]);
     place(&mut world, job, 0, 0, 1);
     end(&mut world, job, (0, 0, 1), model::EndReason::Done);
-    world.now += hemlockcleat::core::workflow::registry::RETENTION.0 + 1;
+    world.now += registry::RETENTION.0 + 1;
     let again = world.submit(1, "aa", vec![flow::step(1, 1)]);
     assert_ne!(again, job);
     assert!(!world.registry.jobs.contains_key(&job));
@@ -265,6 +299,7 @@
     };
     apply(2, command::Command::Submit(submission));
     apply(3, command::Command::Place(vec![placement(ids::JobKey(2), 0, 0, 1)]));
+    apply(4, command::Command::Cancel(flow::queue(1).address(), "bb".to_owned()));
     let bytes = codec::encode(&snapshot::Ledger::from(&ledger));
     let restored = codec::decode_snapshot::<snapshot::Ledger>(&bytes).expect("a snapshot");
     let restored = state::Ledger::try_from(restored).expect("a ledger");
--- a/tests/testsuite/workflow.rs
+++ b/tests/testsuite/workflow.rs
@@ -270,7 +270,7 @@
         site.configure().await;
         assert_eq!(site.call(wire::Call::Show(address(1, "aa"))).await, wire::Reply::NoJob);
         assert_eq!(site.call(wire::Call::Cancel(address(1, "aa"))).await, wire::Reply::NoJob);
-        site.submit(1, "aa", flow::step(1, 1)).await;
+        site.submit(1, "bb", flow::step(1, 1)).await;
         assert_eq!(site.call(wire::Call::Show(address(1, ""))).await, wire::Reply::Pending(1));
         site.stop().await;
     });
@@ -289,6 +289,26 @@
     });
 }
 
+/// Guards against a job that runs although its caller has cancelled it: the submission was held up
+/// at an entry, and arrives after the cancel and a change of leader.
+#[test]
+fn submission_after_its_cancel_runs_nothing() {
+    support::run(async {
+        let mut site = Site::start(3, 1).await;
+        site.configure().await;
+        let cancel = wire::Call::Cancel(address(1, "aa"));
+        assert_eq!(site.call(cancel).await, wire::Reply::NoJob);
+        site.stop_leader().await;
+        site.submit(1, "aa", flow::step(1, 1)).await;
+        assert_eq!(site.wait_for_end(1, "aa").await, job::Phase::Cancelled);
+        // A job that is accepted later runs.
+        site.submit(1, "bb", flow::step(1, 1)).await;
+        assert_eq!(site.wait_for_end(1, "bb").await, job::Phase::Completed);
+        assert_eq!(site.checker.starts.get(), 1);
+        site.stop().await;
+    });
+}
+
 #[test]
 fn orders_without_answer_run_once() {
     support::run(async {
