Count a job as pending until a task of it has started

They were placed on a worker that had just been lost.

Cause: the registry counted the jobs of which nothing had been placed. A placement set the phase to Running before any worker had heard of it, and one that ended without a start did not set it back.

Evidence: three entries in turn gave 0 for over 2 s, each from the leader; no worker listed the jobs before the lease of the lost one had run out.

Change: Dispatch::pending takes a job for started once a worker has listed a run of it. A run that is lost before that ends as Unstarted, not as Lost, so that each end tells whether there was a start, and the job keeps that for the next leader. A job with neither a start nor a placement is Pending again.

--- a/src/control/gate_session.rs
+++ b/src/control/gate_session.rs
@@ -229,7 +229,10 @@
     let registry = &proposer.shared.ledger.borrow().workflows;
     let queue = target.queue.address();
     if target.id.is_empty() {
-        return gate::Reply::Pending(registry.pending(&queue));
+        return match proposer.shared.dispatch.borrow().as_ref() {
+            Some(dispatch) => gate::Reply::Pending(dispatch.pending(registry, &queue)),
+            None => gate::Reply::Undecided(false),
+        };
     }
     match registry.find(&queue, &target.id) {
         Some(key) => gate::Reply::Job(registry.jobs[&key].phase),
--- a/src/core/dispatch/leader.rs
+++ b/src/core/dispatch/leader.rs
@@ -95,6 +95,17 @@
         self.health.speed(host)
     }
 
+    /// Returns the number of active jobs in the queue at this address of which no task is known to
+    /// have started. A task counts as started once its worker has listed the run, not when it is
+    /// placed: the worker may be lost already.
+    pub fn pending(&self, registry: &registry::Registry, queue: &str) -> u64 {
+        let has_started = |key, job: &job::Job| {
+            job.started || runs::of_job(&self.runs, key).any(|(_, run)| run.started)
+        };
+        let jobs = registry.active_jobs().filter(|(_, job)| job.submission.queue == queue);
+        jobs.filter(|(key, job)| !has_started(*key, job)).count() as u64
+    }
+
     fn adopt(
         &mut self,
         job: &job::Job,
@@ -152,7 +163,8 @@
                 self.remove_run(*key);
             }
             command::Event::Stopping(job) => {
-                for key in runs::of_job(&self.runs, *job) {
+                let keys: Vec<_> = runs::of_job(&self.runs, *job).map(|(key, _)| *key).collect();
+                for key in keys {
                     self.stop(registry, key, order::StopReason::JobEnded, now);
                 }
             }
@@ -310,7 +322,11 @@
         for key in keys {
             let Some(run) = self.runs.get_mut(&key) else { continue };
             run.state = runs::State::Ending;
-            endings.push(command::Ending::new(key, model::EndReason::Lost, run.checkpoint.clone()));
+            let reason = match run.started {
+                true => model::EndReason::Lost,
+                false => model::EndReason::Unstarted,
+            };
+            endings.push(command::Ending::new(key, reason, run.checkpoint.clone()));
             if let Some(worker) = self.workers.get_mut(&run.incarnation.host) {
                 worker.allocated.remove(&key);
             }
@@ -345,6 +361,7 @@
         checkpoints: step.checkpoints,
         placed_at: now.tick,
         ordered_at: Some(now.tick),
+        started: false,
         last_seen: now.tick,
         checkpoint,
         progress: progress::Progress::new(step.estimate, now.tick),
--- a/src/core/dispatch/report.rs
+++ b/src/core/dispatch/report.rs
@@ -197,6 +197,7 @@
                 continue;
             };
             listed.insert(key);
+            run.started = true;
             run.last_seen = now.tick;
             run.progress.update(now.tick, entry.percent);
             if !entry.checkpoint.is_empty() {
@@ -280,6 +281,7 @@
                 continue;
             }
             run.state = runs::State::Ending;
+            run.started = true;
             match entry.reason {
                 model::EndReason::Done => self.health.record_success(host),
                 model::EndReason::Failed => self.health.record_failure(host, key.task, now.tick),
--- a/src/core/dispatch/runs.rs
+++ b/src/core/dispatch/runs.rs
@@ -5,6 +5,7 @@
 use crate::core::dispatch::health;
 use crate::core::dispatch::order::Resources;
 use crate::core::dispatch::progress;
+use crate::core::ids;
 use crate::core::time;
 use crate::core::workflow::model;
 use crate::macros;
@@ -44,6 +45,8 @@
     pub placed_at: time::Tick,
     /// The time of the last order on the run in the agent's current session.
     pub ordered_at: Option<time::Tick>,
+    /// Whether a report to this leader has listed the run or its end.
+    pub started: bool,
     /// The time of the last report that listed the run.
     pub last_seen: time::Tick,
     /// The last known checkpoint; empty for none.
@@ -110,11 +113,11 @@
     members.all(|(_, member)| member.occupies_worker() && stalled(member))
 }
 
-/// Returns the keys of all runs of a job.
-pub fn of_job(runs: &Runs, job: crate::core::ids::JobKey) -> Vec<model::RunKey> {
+/// Returns all runs of a job.
+pub fn of_job(runs: &Runs, job: ids::JobKey) -> impl Iterator<Item = (&model::RunKey, &Run)> {
     let low = model::TaskKey { job, occurrence: 0, step: 0, index: 0 };
     let high = model::TaskKey { job, occurrence: u32::MAX, step: u32::MAX, index: u32::MAX };
     let first = model::RunKey { task: low, run: 0 };
     let last = model::RunKey { task: high, run: u32::MAX };
-    runs.range(first..=last).map(|(key, _)| *key).collect()
+    runs.range(first..=last)
 }
--- a/src/core/workflow/job.rs
+++ b/src/core/workflow/job.rs
@@ -10,9 +10,9 @@
     /// The phase of a job.
     #[derive(bincode::Encode, bincode::Decode)]
     pub enum Phase {
-        /// No task has been placed yet.
+        /// No task is placed, and none is known to have started.
         Pending,
-        /// Tasks have been placed.
+        /// Tasks are placed or have started.
         Running,
         /// All tasks are done.
         Completed,
@@ -72,6 +72,8 @@
         pub occurrences: BTreeMap<u32, Occurrence>,
         /// The number of occurrences that are done.
         pub finished: u32,
+        /// Whether a run that has ended is known to have started.
+        pub started: bool,
     }
 }
 
@@ -97,7 +99,15 @@
         let steps = &submission.workflow.steps;
         let steps: Vec<_> = steps.iter().map(|step| vec![Task::NEW; step.count as usize]).collect();
         let occurrences = (0..count).map(|k| (k, Occurrence { steps: steps.clone() })).collect();
-        Self { submission, accepted, phase: Phase::Pending, ended: 0, occurrences, finished: 0 }
+        Self {
+            submission,
+            accepted,
+            phase: Phase::Pending,
+            ended: 0,
+            occurrences,
+            finished: 0,
+            started: false,
+        }
     }
 
     /// Whether the job has not ended, so that its tasks may start.
--- a/src/core/workflow/model.rs
+++ b/src/core/workflow/model.rs
@@ -143,6 +143,15 @@
         Lost,
         /// The run never started and never will.
         Refused,
+        /// The worker was lost, and no report to the leader had listed the run.
+        Unstarted,
+    }
+}
+
+impl EndReason {
+    /// Whether the run is known to have started.
+    pub fn has_started(self) -> bool {
+        !matches!(self, Self::Refused | Self::Unstarted)
     }
 }
 
--- a/src/core/workflow/registry.rs
+++ b/src/core/workflow/registry.rs
@@ -83,13 +83,6 @@
         self.active.iter().map(|key| (*key, &self.jobs[key]))
     }
 
-    /// The number of jobs in the queue at this address of which no task has been placed.
-    pub fn pending(&self, queue: &str) -> u64 {
-        let is_pending =
-            |job: &&job::Job| job.submission.queue == queue && job.phase == job::Phase::Pending;
-        self.active_jobs().map(|(_, job)| job).filter(is_pending).count() as u64
-    }
-
     /// Inserts a job, either new or from a snapshot, and indexes it.
     pub fn restore(&mut self, key: ids::JobKey, job: job::Job) {
         let submission = &job.submission;
@@ -239,10 +232,18 @@
         if !job.task(run.task).is_some_and(current) {
             return;
         }
+        job.started |= ending.reason.has_started();
         match ending.reason {
             model::EndReason::Done => self.complete_run(at, run, events),
             reason => self.interrupt_run(at, run, reason, ending.checkpoint, events),
         }
+        if let Some(job) = self.jobs.get_mut(&run.task.job)
+            && job.is_active()
+            && !job.started
+            && !job.has_runs()
+        {
+            job.phase = job::Phase::Pending;
+        }
     }
 
     /// Marks the task of a run as done, and with it all tasks of its gang.
--- a/src/emulator/fleet.rs
+++ b/src/emulator/fleet.rs
@@ -300,5 +300,6 @@
         model::EndReason::Alone => "alone",
         model::EndReason::Lost => "lost",
         model::EndReason::Refused => "refused",
+        model::EndReason::Unstarted => "unstarted",
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod dispatch_leaders;
 mod dispatch_order;
 mod dispatch_pass;
+mod dispatch_pending;
 mod dispatch_policy;
 mod dispatch_silence;
 mod dispatch_speed;
--- a/tests/testsuite/workflow.rs
+++ b/tests/testsuite/workflow.rs
@@ -276,6 +276,27 @@
     });
 }
 
+/// Guards against jobs that are missing from the count of pending ones: they were placed on a worker
+/// that doesn't start them.
+#[test]
+fn job_is_pending_until_a_task_has_started() {
+    support::run(async {
+        let site = Site::start(1, 1).await;
+        site.configure().await;
+        site.workers[0].drops_orders.set(true);
+        site.submit(1, "aa", flow::step(1, 1)).await;
+        for _ in 0..50 {
+            let pending = site.call(wire::Call::Show(address(1, ""))).await;
+            assert_eq!(pending, wire::Reply::Pending(1));
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        site.workers[0].drops_orders.set(false);
+        assert_eq!(site.wait_for_end(1, "aa").await, job::Phase::Completed);
+        assert_eq!(site.call(wire::Call::Show(address(1, ""))).await, wire::Reply::Pending(0));
+        site.stop().await;
+    });
+}
+
 #[test]
 fn cancelled_job_stops() {
     support::run(async {
