Rank active runs by the current guarantees

Cause: a run kept the rank that its job had at its placement. Ranks were computed anew for waiting jobs alone, so that runs beyond the new guarantee were still spared as guaranteed.

Change: queue::Ranks holds the ranks of all active jobs, made once in each pass. The queue and the choice of runs to stop both ask it, and runs store no rank. So two related faults end as well: a run that had come within its guarantee since its placement was stopped for others, and so were guaranteed runs that a new leader had adopted.

--- a/src/core/dispatch/leader.rs
+++ b/src/core/dispatch/leader.rs
@@ -9,7 +9,6 @@
 use crate::core::dispatch::order::Resources;
 use crate::core::dispatch::order::Timestamp;
 use crate::core::dispatch::progress;
-use crate::core::dispatch::queue;
 use crate::core::dispatch::runs;
 use crate::core::dispatch::wait;
 use crate::core::ids;
@@ -122,7 +121,7 @@
         // which runs of the earlier ones are still active.
         worker.incarnation = worker.incarnation.max(Some(incarnation));
         let state = if job.is_active() { runs::State::Ordered } else { runs::State::Stopping };
-        let run = new_run(job, key, incarnation, state, queue::base_rank(job), now);
+        let run = new_run(job, key, incarnation, state, now);
         worker.allocated.insert(key, run.resources);
         self.runs.insert(key, run);
     }
@@ -346,7 +345,6 @@
     key: model::RunKey,
     incarnation: model::Incarnation,
     state: runs::State,
-    rank: u32,
     now: Timestamp,
 ) -> runs::Run {
     let step = job.step(key.task.step);
@@ -355,8 +353,7 @@
         state,
         incarnation,
         resources: Resources::of_step(step),
-        // Rank 0 exempts long-running tasks from preemption.
-        rank: if step.long_running { 0 } else { rank },
+        preemptible: !step.long_running,
         gang: step.gang,
         checkpoints: step.checkpoints,
         placed_at: now.tick,
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -37,6 +37,7 @@
 #[derive(Clone, Copy)]
 struct Turn<'a> {
     job: &'a job::Job,
+    ranks: &'a queue::Ranks,
     waiting: queue::WaitingStep,
     demand: fit::Demand<'a>,
     /// The number of tasks that may start if other jobs wait, and for which others may be stopped.
@@ -130,7 +131,8 @@
     pub(super) fn place_waiting(&mut self, registry: &registry::Registry, now: Timestamp) {
         let mut pass = Pass::default();
         let mut placements = Vec::new();
-        let queue = queue::waiting(registry, now);
+        let ranks = queue::Ranks::new(registry);
+        let queue = queue::waiting(registry, &ranks, now);
         self.wait_times.update(&queue, now.tick);
         let single_job =
             queue.windows(2).all(|pair| pair[0].first_task.job == pair[1].first_task.job);
@@ -143,7 +145,7 @@
                 continue;
             }
             let demand = self.demand(&mut pass, registry, job, &waiting, now);
-            let turn = Turn { job, waiting, demand, share: usize::MAX };
+            let turn = Turn { job, ranks: &ranks, waiting, demand, share: usize::MAX };
             let limit = self.start_limit(&pass, turn, single_job);
             let allowed = &indices[..limit.min(indices.len())];
             let turn = Turn { share: self.start_limit(&pass, turn, false), ..turn };
@@ -276,7 +278,7 @@
             let run = if demand.step.gang { number } else { own };
             let key = model::RunKey { task, run };
             let state = runs::State::Proposed;
-            let placed = leader::new_run(job, key, incarnation, state, waiting.rank, now);
+            let placed = leader::new_run(job, key, incarnation, state, now);
             if let Some(candidate) = candidates.iter_mut().find(|candidate| candidate.host == host)
             {
                 candidate.allocate(placed.resources);
@@ -377,7 +379,7 @@
         let candidates = candidates.iter().filter(|candidate| any || !candidate.slow);
         let candidates: Vec<_> = candidates.copied().collect();
         let method = preempt::Method::Stop;
-        let context = self.preemption(turn.waiting.rank, now);
+        let context = self.preemption(turn, now);
         let victims = pass.victims(context, method);
         let plan = preempt::plan(&candidates, &victims, context, turn.demand, count, method);
         let Some(plan) = plan.filter(|plan| plan.deferred) else { return false };
@@ -406,7 +408,7 @@
         now: Timestamp,
     ) {
         let method = preempt::Method::Wait;
-        let context = self.preemption(turn.waiting.rank, now);
+        let context = self.preemption(turn, now);
         let victims = pass.victims(context, method);
         let plan = preempt::plan(candidates, &victims, context, turn.demand, count, method);
         if let Some(plan) = plan {
@@ -414,8 +416,9 @@
         }
     }
 
-    fn preemption(&self, rank: u32, now: Timestamp) -> preempt::Context<'_> {
-        preempt::Context { runs: &self.runs, health: &self.health, rank, now }
+    fn preemption<'a>(&'a self, turn: Turn<'a>, now: Timestamp) -> preempt::Context<'a> {
+        let Turn { ranks, waiting, .. } = turn;
+        preempt::Context { runs: &self.runs, health: &self.health, ranks, rank: waiting.rank, now }
     }
 
     fn reserve(
--- a/src/core/dispatch/preempt.rs
+++ b/src/core/dispatch/preempt.rs
@@ -53,6 +53,9 @@
     pub runs: &'a runs::Runs,
     /// The speed and reliability of workers.
     pub health: &'a health::Health,
+    /// The current ranks of jobs. Those at the placement of their runs may no longer hold, as
+    /// guarantees change and other jobs of an account end.
+    pub ranks: &'a queue::Ranks,
     /// The rank of the step; only runs of higher numbers are stopped.
     pub rank: u32,
     /// The current time.
@@ -174,7 +177,8 @@
         let mut gangs = BTreeMap::new();
         for (key, run) in context.runs.iter() {
             let stopping = run.state == runs::State::Stopping;
-            let protected = method == Method::Stop && run.rank <= context.rank;
+            let may_stop = run.preemptible && context.ranks.of(key.task.job) > context.rank;
+            let protected = method == Method::Stop && !may_stop;
             if !stopping && (protected || !active.contains(&run.state)) {
                 continue;
             }
--- a/src/core/dispatch/queue.rs
+++ b/src/core/dispatch/queue.rs
@@ -70,12 +70,47 @@
     pub first_task: model::TaskKey,
 }
 
+/// The ranks of the active jobs by the current configuration.
+#[derive(Debug)]
+pub struct Ranks(BTreeMap<ids::JobKey, u32>);
+
+impl Ranks {
+    /// Returns the ranks of all active jobs. Urgent jobs are within their account's guarantee by
+    /// order of acceptance.
+    pub fn new(registry: &registry::Registry) -> Self {
+        let directory = registry.directory.as_ref();
+        let mut used: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut ranks = BTreeMap::new();
+        for (key, job) in registry.active_jobs() {
+            let mut rank = base_rank(job);
+            if rank == URGENT_RANK {
+                let account = job.submission.account.as_str();
+                let used = used.entry(account).or_default();
+                *used = used.saturating_add(peak_accelerators(job));
+                if *used <= directory.map_or(0, |directory| directory.guarantee(account)) {
+                    rank = GUARANTEED_RANK;
+                }
+            }
+            ranks.insert(key, rank);
+        }
+        Self(ranks)
+    }
+
+    /// Returns the rank of a job; that of a job that has ended comes last.
+    pub fn of(&self, job: ids::JobKey) -> u32 {
+        self.0.get(&job).copied().unwrap_or(u32::MAX)
+    }
+}
+
 /// Returns the due steps with waiting tasks, in the order in which they are served.
-pub fn waiting(registry: &registry::Registry, now: order::Timestamp) -> Vec<WaitingStep> {
-    let ranks = guaranteed_ranks(registry);
+pub fn waiting(
+    registry: &registry::Registry,
+    ranks: &Ranks,
+    now: order::Timestamp,
+) -> Vec<WaitingStep> {
     let mut found = Vec::new();
     for (key, job) in registry.active_jobs() {
-        let rank = ranks.get(&key).copied().unwrap_or_else(|| base_rank(job));
+        let rank = ranks.of(key);
         for (number, occurrence) in &job.occurrences {
             let due = job.due(*number);
             if due > now.wall.0 {
@@ -142,25 +177,6 @@
     URGENT_RANK + job.submission.priority
 }
 
-/// Returns the ranks of urgent jobs within their account's guarantee, by order of acceptance.
-fn guaranteed_ranks(registry: &registry::Registry) -> BTreeMap<ids::JobKey, u32> {
-    let Some(directory) = &registry.directory else { return BTreeMap::new() };
-    let mut used: BTreeMap<&str, u32> = BTreeMap::new();
-    let mut ranks = BTreeMap::new();
-    for (key, job) in registry.active_jobs() {
-        if job.submission.priority > 0 {
-            continue;
-        }
-        let account = job.submission.account.as_str();
-        let used = used.entry(account).or_default();
-        *used = used.saturating_add(peak_accelerators(job));
-        if *used <= directory.guarantee(account) {
-            ranks.insert(key, GUARANTEED_RANK);
-        }
-    }
-    ranks
-}
-
 /// Returns the largest number of accelerators that one step of a job needs at once.
 fn peak_accelerators(job: &job::Job) -> u32 {
     let steps = job.submission.workflow.steps.iter();
--- a/src/core/dispatch/runs.rs
+++ b/src/core/dispatch/runs.rs
@@ -35,8 +35,8 @@
     pub incarnation: model::Incarnation,
     /// The resources that the run occupies.
     pub resources: Resources,
-    /// The rank of the job at placement; a lower one may preempt the run.
-    pub rank: u32,
+    /// Whether the run may be stopped for others.
+    pub preemptible: bool,
     /// Whether the run is a member of a gang, all of which stops with it.
     pub gang: bool,
     /// Whether the task writes checkpoints, so that a stop loses only the work since the last one.
--- a/tests/testsuite/dispatch_policy.rs
+++ b/tests/testsuite/dispatch_policy.rs
@@ -5,6 +5,8 @@
 use hemlockcleat::core::dispatch::queue;
 use hemlockcleat::core::ids;
 use hemlockcleat::core::time;
+use hemlockcleat::core::workflow::command;
+use hemlockcleat::core::workflow::directory;
 use hemlockcleat::core::workflow::model;
 
 use crate::support::flow;
@@ -100,6 +102,82 @@
     }
 }
 
+/// Returns a configuration with these guarantees of two accounts.
+fn guarantees(version: u64, couriers: u32, movers: u32) -> command::Command {
+    let mut directory = flow::directory(version);
+    directory.accounts[0].guarantee = couriers;
+    directory.accounts.push(directory::Account {
+        name: "movers".to_owned(),
+        credentials: vec!["other key".to_owned()],
+        guarantee: movers,
+    });
+    command::Command::Configure(directory)
+}
+
+/// Returns a world whose two workers each run an urgent job of the first account, under these
+/// guarantees.
+fn occupied_by_couriers(couriers: u32, movers: u32) -> flow::World {
+    let mut world = flow::World::with_workers(2);
+    world.apply(guarantees(2, couriers, movers));
+    for id in ["aa", "bb"] {
+        world.submit(0, id, vec![flow::step(1, 8)]);
+        world.tick(1);
+        for (host, task, run) in world.take_starts() {
+            world.report(flow::worker(host, 1), &[(task, run, 10)], &[]);
+        }
+    }
+    world
+}
+
+/// Submits an urgent job of the second account, and returns the jobs that are stopped for it.
+fn stopped_for_movers(world: &mut flow::World) -> Vec<String> {
+    let queue = flow::queue(0);
+    let workflow =
+        model::Workflow { spec: "spec".to_owned(), steps: vec![flow::step(1, 8)], schedule: None };
+    world.apply(command::Command::Submit(command::Submission {
+        queue: queue.address(),
+        id: "cc".to_owned(),
+        account: "movers".to_owned(),
+        pool: queue.pool,
+        priority: 0,
+        attempts: queue.attempts,
+        workflow,
+    }));
+    world.orders.clear();
+    world.tick(1);
+    world.take_stops().into_iter().map(|(_, task, _)| task.id).collect()
+}
+
+/// Guards against guaranteed capacity that stays with the runs of an account to which it was
+/// guaranteed when they were placed.
+#[test]
+fn reduced_guarantee_holds_for_active_runs() {
+    let mut world = occupied_by_couriers(16, 0);
+    world.apply(guarantees(3, 8, 8));
+    assert_eq!(stopped_for_movers(&mut world), ["bb"]);
+}
+
+/// Guards against stops of runs that are within their account's guarantee by now, though they were
+/// not when they were placed.
+#[test]
+fn raised_guarantee_holds_for_active_runs() {
+    let mut world = occupied_by_couriers(8, 8);
+    world.apply(guarantees(3, 16, 8));
+    assert_eq!(stopped_for_movers(&mut world), Vec::<String>::new());
+}
+
+/// Guards against stops of runs within their account's guarantee that a new leader has adopted.
+#[test]
+fn guarantee_holds_for_adopted_runs() {
+    let mut world = occupied_by_couriers(16, 8);
+    world.change_leader();
+    for (host, id) in [(0, "aa"), (1, "bb")] {
+        world.connect(host);
+        world.report(flow::worker(host, 1), &[(name(id, 0), 1, 10)], &[]);
+    }
+    assert_eq!(stopped_for_movers(&mut world), Vec::<String>::new());
+}
+
 /// The only worker with lower-ranked work to stop is suspect after a recent failure. The stop frees
 /// capacity there for the urgent task, which therefore has to start there at once.
 #[test]
@@ -467,6 +545,12 @@
     assert_eq!(order, ["aa", "cc", "dd", "bb"]);
 }
 
+/// Returns the prospect at a time of the step that is served first.
+fn first_prospect(world: &flow::World, now: u64) -> queue::Prospect {
+    let ranks = queue::Ranks::new(&world.registry);
+    queue::waiting(&world.registry, &ranks, flow::moment(now))[0].prospect
+}
+
 #[rstest::rstest]
 #[case::in_time(0, queue::Prospect::InTime)]
 #[case::just_in_time(5700, queue::Prospect::InTime)]
@@ -476,8 +560,7 @@
 fn prospect_of_a_waiting_job(#[case] after: u64, #[case] expected: queue::Prospect) {
     let mut world = flow::World::default();
     world.submit(1, "aa", vec![flow::step(1, 8)]);
-    let waiting = queue::waiting(&world.registry, flow::moment(after));
-    assert_eq!(waiting[0].prospect, expected);
+    assert_eq!(first_prospect(&world, after), expected);
 }
 
 /// The second of two steps waits for the first, whose time has passed by then.
@@ -487,7 +570,6 @@
     let second = model::Step { after: vec![0], ..flow::step(1, 1) };
     world.submit(1, "aa", vec![model::Step { estimate: 9000, ..flow::step(1, 8) }, second]);
     // All of it has to end within three times 11 s and 1 s.
-    let at = |now| queue::waiting(&world.registry, flow::moment(now))[0].prospect;
-    assert_eq!(at(27_000), queue::Prospect::InTime);
-    assert_eq!(at(28_000), queue::Prospect::Late);
+    assert_eq!(first_prospect(&world, 27_000), queue::Prospect::InTime);
+    assert_eq!(first_prospect(&world, 28_000), queue::Prospect::Late);
 }
