Refuse a request whose key was cancelled before it arrived

What callers would see: on the product's own request path, a request that is held up at an entry runs although its caller has cancelled it meanwhile, and has been told not-run.

Cause: the ledger took the cancel of an unknown key for nothing.

The reply to the cancel is as before.

Tests: ledger::submission_after_its_cancel_never_runs fails without the change (the request is accepted) and passes with it; ledger::snapshot_round_trip includes such a key.

--- a/src/core/ledger/lifecycle.rs
+++ b/src/core/ledger/lifecycle.rs
@@ -38,6 +38,9 @@
             let reason = verdict::Reason::KeyExpired;
             return outcome::Outcome::Refused(verdict::Refusal::may_have_run(reason, spec.key));
         }
+        if self.table.is_key_cancelled(&spec.account, &spec.key) {
+            return refused(verdict::Reason::Cancelled, spec.key);
+        }
         if let Err(refusal) = self.check_admission(&spec) {
             self.stats.count_refused(&spec.service, self.now, 1);
             return outcome::Outcome::Refused(refusal);
@@ -104,7 +107,10 @@
                     let reason = verdict::Reason::KeyExpired;
                     outcome::Outcome::Refused(verdict::Refusal::may_have_run(reason, key))
                 }
-                false => refused(verdict::Reason::Unknown, key),
+                false => {
+                    self.table.cancel_key(account, key, self.now);
+                    refused(verdict::Reason::Unknown, key)
+                }
             };
         };
         let Some(job) = self.table.jobs.get_mut(&key) else { return outcome::Outcome::Stale };
--- a/src/core/ledger/table.rs
+++ b/src/core/ledger/table.rs
@@ -71,9 +71,12 @@
         /// Idempotency keys whose jobs are no longer retained, by [`key_digest`], with the end of
         /// the key's retention.
         pub expired_keys: BTreeMap<[u8; 16], time::Wall>,
+        /// Idempotency keys that were cancelled before a request used them, by [`key_digest`], with
+        /// the end of the key's retention.
+        pub cancelled_keys: BTreeMap<[u8; 16], time::Wall>,
         /// Ended jobs by the end of their retention.
         pub job_expiries: BTreeSet<(time::Wall, ids::JobKey)>,
-        /// Expired idempotency keys by the end of their retention.
+        /// Expired and cancelled idempotency keys by the end of their retention.
         pub key_expiries: BTreeSet<(time::Wall, [u8; 16])>,
         /// Jobs that have not ended and are not late, by deadline.
         pub deadlines: BTreeSet<(time::Wall, ids::JobKey)>,
@@ -112,6 +115,21 @@
         self.expired_keys.contains_key(&key_digest(account, key))
     }
 
+    /// Returns whether the idempotency key was cancelled before a request used it.
+    pub fn is_key_cancelled(&self, account: &str, key: &str) -> bool {
+        self.cancelled_keys.contains_key(&key_digest(account, key))
+    }
+
+    /// Cancels an idempotency key that no request has used yet: the request may still be on its way.
+    pub fn cancel_key(&mut self, account: &str, key: &str, now: time::Wall) {
+        let digest = key_digest(account, key);
+        let end = now + JOB_RETENTION;
+        if let Some(earlier) = self.cancelled_keys.insert(digest, end) {
+            self.key_expiries.remove(&(earlier, digest));
+        }
+        self.key_expiries.insert((end, digest));
+    }
+
     /// Inserts an accepted job.
     pub fn insert(&mut self, key: ids::JobKey, job: Job) {
         let name = (job.spec.account.clone(), job.spec.key.clone());
@@ -177,6 +195,7 @@
             }
             self.key_expiries.pop_first();
             self.expired_keys.remove(&digest);
+            self.cancelled_keys.remove(&digest);
         }
     }
 
--- a/src/wire/snapshot.rs
+++ b/src/wire/snapshot.rs
@@ -34,6 +34,9 @@
         pub jobs: Vec<Job>,
         /// Expired idempotency keys: (digest, end of the key's retention in ms since 1970).
         pub expired_keys: Vec<([u8; 16], u64)>,
+        /// Idempotency keys cancelled before their use: (digest, end of the key's retention in ms
+        /// since 1970).
+        pub cancelled_keys: Vec<([u8; 16], u64)>,
         /// The services: (name, time of creation in ms since 1970).
         pub services: Vec<(String, u64)>,
         /// The hours that are not all zeros.
@@ -156,12 +159,8 @@
                 .collect(),
             workers: ledger.workers.by_key.iter().map(worker).collect(),
             jobs: jobs.map(|(key, job)| Job::from((*key, job))).collect(),
-            expired_keys: ledger
-                .table
-                .expired_keys
-                .iter()
-                .map(|(key, end)| (*key, end.0))
-                .collect(),
+            expired_keys: ledger.table.expired_keys.iter().map(key).collect(),
+            cancelled_keys: ledger.table.cancelled_keys.iter().map(key).collect(),
             services: ledger.stats.created.iter().map(|(s, at)| (s.clone(), at.0)).collect(),
             hours: ledger.stats.hours.iter().map(hour).collect(),
             reports: ledger.reports.iter().map(|(key, (n, at))| (*key, *n, at.0)).collect(),
@@ -182,6 +181,10 @@
     }
 }
 
+fn key((digest, end): (&[u8; 16], &time::Wall)) -> ([u8; 16], u64) {
+    (*digest, end.0)
+}
+
 fn worker((key, worker): (&ids::WorkerKey, &workers::Worker)) -> Worker {
     Worker {
         key: key.0,
@@ -312,6 +315,10 @@
             ledger.table.expired_keys.insert(digest, time::Wall(end));
             ledger.table.key_expiries.insert((time::Wall(end), digest));
         }
+        for (digest, end) in wire.cancelled_keys {
+            ledger.table.cancelled_keys.insert(digest, time::Wall(end));
+            ledger.table.key_expiries.insert((time::Wall(end), digest));
+        }
         for job in wire.jobs {
             let key = ids::JobKey(job.key);
             ledger.table.restore(key, job.try_into()?);
--- a/tests/testsuite/ledger.rs
+++ b/tests/testsuite/ledger.rs
@@ -283,6 +283,24 @@
     assert_eq!(refusal.verdict, verdict::Verdict::NotRun);
 }
 
+/// Guards against a cancelled request that runs after all: its submission was held up on the way and
+/// reached the ledger after the cancel.
+#[test]
+fn submission_after_its_cancel_never_runs() {
+    let mut harness = support::Harness::new();
+    let cancel = command::Command::Cancel { account: "a".to_owned(), key: "k".to_owned() };
+    let unknown = refusal(harness.apply(cancel));
+    assert_eq!(unknown.reason, verdict::Reason::Unknown);
+    let spec = support::spec("k", "confirm", 1, 1);
+    let cancelled = refusal(harness.apply(command::Command::Submit(spec.clone())));
+    assert_eq!(cancelled.reason, verdict::Reason::Cancelled);
+    assert_eq!(cancelled.verdict, verdict::Verdict::NotRun);
+    harness.submit(support::spec("other", "confirm", 1, 1));
+    harness.submit(job::Spec { account: "b".to_owned(), ..spec.clone() });
+    harness.at = harness.at + table::JOB_RETENTION + time::Millis(1);
+    harness.submit(job::Spec { deadline: harness.at + time::Millis::from_secs(600), ..spec });
+}
+
 #[test]
 fn cancel_running_ends_as_may_have_run() {
     let mut harness = support::Harness::new();
@@ -365,6 +383,7 @@
     let attempt = harness.attempt(second);
     harness.apply(command::Command::Chunk { attempt, offset: 0, bytes: b"abc".to_vec() });
     harness.end(second, command::AttemptResult::Done(answer_meta(b"abc")));
+    harness.apply(command::Command::Cancel { account: "a".to_owned(), key: "k4".to_owned() });
     let bytes = codec::encode(&snapshot::Ledger::from(&harness.ledger));
     let wire: snapshot::Ledger = codec::decode_snapshot(&bytes).expect("a snapshot");
     let restored = state::Ledger::try_from(wire).expect("a ledger");
