--- a/src/core/workflow/registry.rs
+++ b/src/core/workflow/registry.rs
@@ -11,7 +11,7 @@
 use crate::core::workflow::model;
 
 /// The time that an ended job, its identifier and the cancel of an unknown job stay known: callers
-/// resend and ask for minutes, and an entry may be suspended with a submission that it has read.
+/// resend and ask for minutes, and an entry may be suspended before it passes on a submission.
 pub const RETENTION: time::Millis = time::Millis::from_secs(3600);
 
 /// The replicated state of workflows.
--- a/src/wire/gate.rs
+++ b/src/wire/gate.rs
@@ -86,7 +86,7 @@
         Job(job::Phase),
         /// The job was cancelled, or had ended already.
         Cancelled,
-        /// The number of jobs of the queue that wait for their first task.
+        /// The number of jobs of the queue of which no task has started.
         Pending(u64),
         /// The configuration is durable, or superseded by a higher version.
         Configured,
