--- a/review/stand-3/src/cases.rs
+++ b/review/stand-3/src/cases.rs
@@ -27,6 +27,7 @@
         "times" => (&[("i-1", "r1-1", NODE), ("i-2", "r1-1", NODE)][..], times),
         "beside" => (&[("i-1", "r1-1", NODE), ("i-2", "r1-1", NODE)][..], beside),
         "schedules" => (&[("i-1", "r1-1", NODE), ("i-2", "r1-1", NODE)][..], schedules),
+        "far" => (&[("i-1", "r1-1", NODE), ("i-2", "r1-1", NODE), ("i-3", "r1-2", NODE)][..], far),
         _ => return None,
     };
     Some(Case { workers, play })
@@ -333,3 +334,65 @@
     thread::sleep(FINISH);
     known(system, 0..5)
 }
+
+/// The work of the task of [`far`] in seconds on a worker of speed 1 near its data, twice as much as
+/// estimated; the factor by which it takes longer elsewhere (`remotePenalty`); and the speeds of the
+/// worker near its data and of the others (`speeds` of the site).
+const WORK_S: f64 = 120.0;
+const REMOTE_PENALTY: f64 = 3.0;
+const SPEEDS: (f64, f64) = (1.2, 0.55);
+
+/// Other jobs fill the only worker on the rack with a job's data, so that its task runs elsewhere and
+/// takes longer. Broken if the job has nothing running for 3 s.
+fn far(system: &System, trouble: bool) -> Verdict {
+    for machine in &system.machines {
+        machine.start(0);
+    }
+    if system.prepare(&configuration(1, [8, 8])).is_none() {
+        return Verdict::Unplayed;
+    }
+    pause(4000);
+    if trouble {
+        let other = shape(1, Some(Duration::from_secs(110)));
+        let mut phase = phase(8, &other);
+        phase["affinity"] = "r1-2".into();
+        system.shapes.set(&id(2), 0, other);
+        if !system.submit("/p1/", &id(2), "key-b", &job(phase)) {
+            return Verdict::Unplayed;
+        }
+        pause(2000);
+    }
+    let near = WORK_S / SPEEDS.0;
+    let remote = WORK_S * REMOTE_PENALTY / SPEEDS.1;
+    let work = Duration::from_secs_f64(if trouble { remote } else { near });
+    let shape = shape(1, Some(work));
+    system.shapes.set(&id(1), 0, shape.clone());
+    let mut phase = phase(1, &shape);
+    phase["estimatedMs"] = 60_000.into();
+    phase["affinity"] = "r1-2".into();
+    if !system.submit("/p1/", &id(1), "key-a", &job(phase)) {
+        return Verdict::Unplayed;
+    }
+    thread::sleep(FINISH);
+    let (mut since, mut longest) = (Instant::now(), Duration::ZERO);
+    let until = Instant::now() + Duration::from_secs(60);
+    while Instant::now() < until {
+        {
+            let runs = system.history.0.lock().unwrap();
+            let mut own = runs.iter().filter(|run| run.task.starts_with(&id(1)));
+            if own.any(|run| run.to.is_none()) {
+                since = Instant::now();
+            }
+        }
+        longest = longest.max(since.elapsed());
+        pause(20);
+    }
+    system.state(0, "/p1/", &id(1), "key-a");
+    let runs = system.history.0.lock().unwrap();
+    let runs: Vec<_> = runs.iter().filter(|run| run.task.starts_with(&id(1))).collect();
+    let stopped = runs.iter().filter(|run| run.how == "stopped").count();
+    system
+        .record
+        .line(format!("{} runs, {stopped} stopped; nothing running for {longest:?}", runs.len()));
+    if longest > Duration::from_secs(3) { Verdict::Broken } else { Verdict::Held }
+}
