--- a/review/stand-3/src/cases.rs
+++ b/review/stand-3/src/cases.rs
@@ -23,11 +23,16 @@
         "restart" => {
             (&[("i-1", "r1-1", NODE), ("i-2", "r1-1", NODE), ("i-3", "r1-2", NODE)][..], restart)
         }
-        "reclaim" => (&[("i-1", "r1-1", NODE), ("i-2", "r1-1", NODE)][..], reclaim),
         "times" => (&[("i-1", "r1-1", NODE), ("i-2", "r1-1", NODE)][..], times),
-        "beside" => (&[("i-1", "r1-1", NODE), ("i-2", "r1-1", NODE)][..], beside),
         "schedules" => (&[("i-1", "r1-1", NODE), ("i-2", "r1-1", NODE)][..], schedules),
-        "far" => (&[("i-1", "r1-1", NODE), ("i-2", "r1-1", NODE), ("i-3", "r1-2", NODE)][..], far),
+        "guarantee" => (&[("i-1", "r1-1", NODE), ("i-2", "r1-1", NODE)][..], guarantee),
+        "drain" => {
+            (&[("i-1", "r1-2", NODE), ("i-2", "r1-1", NODE), ("i-3", "r1-1", NODE)][..], drain)
+        }
+        "late-delete" => (
+            &[("i-1", "r1-2", NODE), ("i-2", "r1-1", NODE), ("i-3", "r1-1", NODE)][..],
+            late_delete,
+        ),
         _ => return None,
     };
     Some(Case { workers, play })
@@ -139,84 +144,6 @@
     if twice(system) { Verdict::Broken } else { Verdict::Held }
 }
 
-/// Lasting tasks of another tenant fill the service before a job of priority 0 comes that is within
-/// its tenant's guarantee.
-fn reclaim(system: &System, trouble: bool) -> Verdict {
-    for machine in &system.machines {
-        machine.start(0);
-    }
-    if system.prepare(&configuration(1, [8, 4])).is_none() {
-        return Verdict::Unplayed;
-    }
-    pause(3000);
-    if trouble {
-        let lasting = shape(1, None);
-        system.shapes.set(&id(1), 0, lasting.clone());
-        if !system.submit("/p1/", &id(1), "key-b", &job(phase(16, &lasting))) {
-            return Verdict::Unplayed;
-        }
-        pause(1000);
-        let runs = system.machines.iter().map(|machine| machine.runs()).sum::<usize>();
-        system.record.line(format!("{runs} lasting tasks run"));
-    }
-    let urgent = shape(1, Some(Duration::from_secs(2)));
-    system.shapes.set(&id(2), 0, urgent.clone());
-    if !system.submit("/p0/", &id(2), "key-a", &job(phase(4, &urgent))) {
-        return Verdict::Unplayed;
-    }
-    let acknowledged = Instant::now();
-    let mut begun = 0;
-    while acknowledged.elapsed() < Duration::from_secs(30) && begun < 4 {
-        pause(50);
-        let runs = system.history.0.lock().unwrap();
-        begun = runs.iter().filter(|run| run.task.starts_with(&id(2))).count();
-    }
-    let took = acknowledged.elapsed().as_millis();
-    system
-        .record
-        .line(format!("{begun} of 4 tasks of the job of priority 0 began within {took} ms"));
-    system.state(0, "/p0/", &id(2), "key-a");
-    if begun < 4 || took > 2900 { Verdict::Broken } else { Verdict::Held }
-}
-
-/// A job with one lasting task on each worker runs before plain jobs come, for which there is room.
-fn beside(system: &System, trouble: bool) -> Verdict {
-    for machine in &system.machines {
-        machine.start(0);
-    }
-    if system.prepare(&configuration(1, [8, 4])).is_none() {
-        return Verdict::Unplayed;
-    }
-    pause(3000);
-    if trouble {
-        let lasting = shape(1, None);
-        system.shapes.set(&id(1), 0, lasting.clone());
-        let mut phase = phase(2, &lasting);
-        phase["antiAffinity"] = 1.into();
-        if !system.submit("/p1/", &id(1), "key-b", &job(phase)) {
-            return Verdict::Unplayed;
-        }
-    }
-    pause(10_000);
-    let short = shape(1, Some(Duration::from_secs(2)));
-    for number in 10..14 {
-        system.shapes.set(&id(number), 0, short.clone());
-        if !system.submit("/p1/", &id(number), "key-a", &job(phase(1, &short))) {
-            return Verdict::Unplayed;
-        }
-    }
-    pause(40_000);
-    let mut idle = 0;
-    for number in 10..14 {
-        let state = system.state(0, "/p1/", &id(number), "key-a");
-        let runs = system.history.0.lock().unwrap();
-        let begun = runs.iter().any(|run| run.task.starts_with(&id(number)));
-        system.record.line(format!("job {}: begun {begun}, shown as {state:?}", id(number)));
-        idle += u32::from(!begun);
-    }
-    if idle > 0 { Verdict::Broken } else { Verdict::Held }
-}
-
 /// The bound on answers after the end of the traffic (`finish_s` of the settings).
 const FINISH: Duration = Duration::from_secs(14);
 
@@ -335,16 +262,58 @@
     known(system, 0..5)
 }
 
-/// The work of the task of [`far`] in seconds on a worker of speed 1 near its data, twice as much as
-/// estimated; the factor by which it takes longer elsewhere (`remotePenalty`); and the speeds of the
-/// worker near its data and of the others (`speeds` of the site).
-const WORK_S: f64 = 120.0;
-const REMOTE_PENALTY: f64 = 3.0;
-const SPEEDS: (f64, f64) = (1.2, 0.55);
+/// A job for the only worker of the rack `r1-2`.
+fn job_for_rack(shape: &Shape) -> Value {
+    let mut phase = phase(1, shape);
+    phase["constraints"] = "r1-2".into();
+    job(phase)
+}
+
+/// `drainTimeoutMs` of the settings.
+const DRAIN: Duration = Duration::from_millis(2000);
+
+/// A heartbeat of a worker is held up, and arrives after a later one has said that it drains.
+fn drain(system: &System, trouble: bool) -> Verdict {
+    for machine in &system.machines {
+        machine.start(0);
+    }
+    if system.prepare(&configuration(1, [8, 8])).is_none() {
+        return Verdict::Unplayed;
+    }
+    pause(4000);
+    let machine = &system.machines[0];
+    let Some(held_up) = machine.next_beat() else { return Verdict::Unplayed };
+    pause(500);
+    if !machine.drain() {
+        return Verdict::Unplayed;
+    }
+    let acknowledged = Instant::now();
+    let short = shape(1, Some(Duration::from_secs(10)));
+    system.shapes.set(&id(1), 0, short.clone());
+    thread::scope(|scope| {
+        scope.spawn(|| system.submit("/p1/", &id(1), "key-a", &job_for_rack(&short)));
+        pause(2300);
+        if trouble {
+            let known = machine.deliver(&held_up);
+            system.record.line(format!("a heartbeat of before arrives late, acknowledged {known}"));
+        }
+        pause(3000);
+    });
+    machine.deliver_leave();
+    machine.crash();
+    let runs = system.history.0.lock().unwrap();
+    let late =
+        runs.iter().filter(|run| run.worker == machine.name && run.from > acknowledged + DRAIN);
+    let late =
+        late.map(|run| format!("{} {} ms after", run.task, (run.from - acknowledged).as_millis()));
+    let late: Vec<_> = late.collect();
+    system.record.line(format!("started on the draining worker after its notice: {late:?}"));
+    if late.is_empty() { Verdict::Held } else { Verdict::Broken }
+}
 
-/// Other jobs fill the only worker on the rack with a job's data, so that its task runs elsewhere and
-/// takes longer. Broken if the job has nothing running for 3 s.
-fn far(system: &System, trouble: bool) -> Verdict {
+/// The notice that a worker leaves is held up, and arrives once the worker has started again under its
+/// id.
+fn late_delete(system: &System, trouble: bool) -> Verdict {
     for machine in &system.machines {
         machine.start(0);
     }
@@ -352,47 +321,80 @@
         return Verdict::Unplayed;
     }
     pause(4000);
+    let machine = system.machines[0].clone();
+    if !machine.drain() {
+        return Verdict::Unplayed;
+    }
+    pause(2500);
+    if !trouble {
+        machine.deliver_leave();
+    }
+    machine.crash();
+    pause(1500);
+    machine.start(0);
+    pause(1000);
     if trouble {
-        let other = shape(1, Some(Duration::from_secs(110)));
-        let mut phase = phase(8, &other);
-        phase["affinity"] = "r1-2".into();
-        system.shapes.set(&id(2), 0, other);
-        if !system.submit("/p1/", &id(2), "key-b", &job(phase)) {
+        machine.deliver_leave();
+    }
+    pause(4000);
+    let short = shape(1, Some(Duration::from_secs(2)));
+    for number in 1..4 {
+        system.shapes.set(&id(number), 0, short.clone());
+        if !system.submit("/p1/", &id(number), "key-a", &job_for_rack(&short)) {
             return Verdict::Unplayed;
         }
-        pause(2000);
-    }
-    let near = WORK_S / SPEEDS.0;
-    let remote = WORK_S * REMOTE_PENALTY / SPEEDS.1;
-    let work = Duration::from_secs_f64(if trouble { remote } else { near });
-    let shape = shape(1, Some(work));
-    system.shapes.set(&id(1), 0, shape.clone());
-    let mut phase = phase(1, &shape);
-    phase["estimatedMs"] = 60_000.into();
-    phase["affinity"] = "r1-2".into();
-    if !system.submit("/p1/", &id(1), "key-a", &job(phase)) {
+    }
+    pause(40_000);
+    let mut waiting = 0;
+    for number in 1..4 {
+        let state = system.state(0, "/p1/", &id(number), "key-a");
+        waiting += u32::from(state.as_deref() != Some("completed"));
+    }
+    if waiting > 0 { Verdict::Broken } else { Verdict::Held }
+}
+
+/// A job of priority 0 with two steps side by side, each of as many accelerators as its tenant is
+/// guaranteed, takes twice the guarantee before a job within another tenant's guarantee comes.
+fn guarantee(system: &System, trouble: bool) -> Verdict {
+    for machine in &system.machines {
+        machine.start(0);
+    }
+    if system.prepare(&configuration(1, [8, 8])).is_none() {
         return Verdict::Unplayed;
     }
-    thread::sleep(FINISH);
-    let (mut since, mut longest) = (Instant::now(), Duration::ZERO);
-    let until = Instant::now() + Duration::from_secs(60);
-    while Instant::now() < until {
-        {
-            let runs = system.history.0.lock().unwrap();
-            let mut own = runs.iter().filter(|run| run.task.starts_with(&id(1)));
-            if own.any(|run| run.to.is_none()) {
-                since = Instant::now();
-            }
-        }
-        longest = longest.max(since.elapsed());
+    pause(3000);
+    let other = shape(1, Some(Duration::from_secs(21)));
+    for step in 0..2 {
+        system.shapes.set(&id(1), step, other.clone());
+    }
+    let mut second = phase(8, &other);
+    if !trouble {
+        second["after"] = json!([0]);
+    }
+    let sent = json!({ "spec": "(text)", "phases": [phase(8, &other), second] });
+    if !system.submit("/p0/", &id(1), "key-b", &sent) {
+        return Verdict::Unplayed;
+    }
+    pause(3000);
+    let urgent = shape(1, Some(Duration::from_secs(2)));
+    system.shapes.set(&id(2), 0, urgent.clone());
+    if !system.submit("/p0/", &id(2), "key-a", &job(phase(8, &urgent))) {
+        return Verdict::Unplayed;
+    }
+    let acknowledged = Instant::now();
+    let mut begun = 0;
+    while acknowledged.elapsed() < Duration::from_secs(30) && begun < 8 {
         pause(20);
+        let runs = system.history.0.lock().unwrap();
+        begun = runs.iter().filter(|run| run.task.starts_with(&id(2))).count();
     }
-    system.state(0, "/p1/", &id(1), "key-a");
-    let runs = system.history.0.lock().unwrap();
-    let runs: Vec<_> = runs.iter().filter(|run| run.task.starts_with(&id(1))).collect();
-    let stopped = runs.iter().filter(|run| run.how == "stopped").count();
+    let took = acknowledged.elapsed();
     system
         .record
-        .line(format!("{} runs, {stopped} stopped; nothing running for {longest:?}", runs.len()));
-    if longest > Duration::from_secs(3) { Verdict::Broken } else { Verdict::Held }
+        .line(format!("{begun} of 8 tasks of the other tenant's job began within {took:?}"));
+    system.state(0, "/p0/", &id(2), "key-a");
+    if begun < 8 || took > RECLAIM { Verdict::Broken } else { Verdict::Held }
 }
+
+/// `reclaimMs` of the settings.
+const RECLAIM: Duration = Duration::from_millis(2900);
--- a/review/stand-3/src/worker.rs
+++ b/review/stand-3/src/worker.rs
@@ -85,6 +85,7 @@
     finished: Vec<(u64, String, u64, &'static str, usize)>,
     ends: u64,
     sequence: u64,
+    draining: bool,
 }
 
 pub struct Machine {
@@ -147,6 +148,7 @@
             finished: Vec::new(),
             ends: 0,
             sequence: 0,
+            draining: false,
         };
         *self.life.lock().unwrap() = Some(life);
         let alive = Arc::new(AtomicBool::new(true));
@@ -185,32 +187,56 @@
         self.record.line(format!("worker {} is gone", self.name));
     }
 
-    pub fn runs(&self) -> usize {
-        self.life.lock().unwrap().as_ref().map_or(0, |life| life.running.len())
+    /// Has the worker report that it drains from now on. Returns whether that was acknowledged.
+    pub fn drain(&self) -> bool {
+        if let Some(life) = self.life.lock().unwrap().as_mut() {
+            life.draining = true;
+        }
+        let acknowledged = self.send_beat();
+        self.record.line(format!("worker {} drains, acknowledged {acknowledged}", self.name));
+        acknowledged
     }
 
-    fn send_beat(&self) -> bool {
-        let body = {
-            let mut life = self.life.lock().unwrap();
-            let Some(life) = life.as_mut() else { return false };
-            life.sequence += 1;
-            let body = json!({
-                "backend": self.pool, "address": self.addr.to_string(), "zone": "zone-1",
-                "version": "v1", "slots": 64, "state": "ready",
-                "coldRemainingMs": 0,
-                "capacity": { "cpu": self.capacity.0, "memMb": self.capacity.1, "gpus": self.capacity.2 },
-                "labels": self.labels, "clockMs": life.clock.elapsed().as_millis() as u64,
-                "sequence": life.sequence, "born": life.born,
-            });
-            body
-        };
+    /// The next heartbeat, which the caller sends later, as one that is held up on its way.
+    pub fn next_beat(&self) -> Option<String> {
+        let mut life = self.life.lock().unwrap();
+        let life = life.as_mut()?;
+        life.sequence += 1;
+        let mut body = json!({
+            "backend": self.pool, "address": self.addr.to_string(), "zone": "zone-1",
+            "version": "v1", "slots": 64,
+            "state": if life.draining { "draining" } else { "ready" },
+            "coldRemainingMs": 0,
+            "capacity": { "cpu": self.capacity.0, "memMb": self.capacity.1, "gpus": self.capacity.2 },
+            "labels": self.labels, "clockMs": life.clock.elapsed().as_millis() as u64,
+            "sequence": life.sequence, "born": life.born,
+        });
+        if life.draining {
+            body["remainingMs"] = 2000.into();
+        }
+        Some(body.to_string())
+    }
+
+    /// Delivers a heartbeat. Returns whether it was acknowledged.
+    pub fn deliver(&self, beat: &str) -> bool {
         let path = format!("/-/instances/{}", self.name);
         let headers = [("Content-Type", "application/json")];
-        let text = body.to_string();
-        let reply = http::call(self.agent, "PUT", &path, &headers, &text, Duration::from_secs(1));
+        let reply = http::call(self.agent, "PUT", &path, &headers, beat, Duration::from_secs(1));
         matches!(reply, Ok((200..300, _)))
     }
 
+    /// Delivers the notice that the worker leaves.
+    pub fn deliver_leave(&self) {
+        let path = format!("/-/instances/{}", self.name);
+        let reply = http::call(self.agent, "DELETE", &path, &[], "", Duration::from_secs(1));
+        let status = reply.map(|(status, _)| status);
+        self.record.line(format!("DELETE of worker {} arrives, answered {status:?}", self.name));
+    }
+
+    fn send_beat(&self) -> bool {
+        self.next_beat().is_some_and(|beat| self.deliver(&beat))
+    }
+
     fn beat(&self, alive: Arc<AtomicBool>) {
         while alive.load(Ordering::SeqCst) {
             let wait = if self.send_beat() { BEAT_MS } else { 200 };
