--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -54,7 +54,10 @@
 }
 
 fn main() {
-    let mut args = std::env::args().skip(1);
+    let mut args = std::env::args().skip(1).peekable();
+    if args.next_if(|first| first == "guard").is_some() {
+        return system::guard();
+    }
     let (Some(case), Some(folder)) = (args.next(), args.next()) else {
         eprintln!("usage: stand-3 CASE FOLDER");
         exit(2);
--- a/review/stand-3/src/system.rs
+++ b/review/stand-3/src/system.rs
@@ -1,10 +1,12 @@
 //! A small deployment: the project's own programs as processes of their own, on addresses of the
 //! loopback range, with the commands of the deploy file.
 
+use std::collections::BTreeSet;
 use std::fs;
+use std::io::Write as _;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -31,7 +33,40 @@
     child: Mutex<Option<Child>>,
 }
 
+/// A process that ends the system's processes if this one ends without doing so, as by a signal.
+pub struct Guard(Mutex<ChildStdin>);
+
+impl Guard {
+    fn start() -> Self {
+        let program = std::env::current_exe().expect("the program's own path");
+        let child = Command::new(program).arg("guard").stdin(Stdio::piped()).spawn();
+        let mut child = child.expect("the guard starts");
+        Self(Mutex::new(child.stdin.take().expect("the guard's input")))
+    }
+
+    fn tell(&self, sign: char, pid: u32) {
+        let _ = writeln!(self.0.lock().unwrap(), "{sign}{pid}");
+    }
+}
+
+/// Reads which processes begin (`+PID`) and end (`-PID`), and ends those that are left once the input
+/// has ended.
+pub fn guard() {
+    let mut pids = BTreeSet::new();
+    for line in std::io::stdin().lines().map_while(Result::ok) {
+        match line.split_at_checked(1) {
+            Some(("+", pid)) => pids.insert(pid.to_owned()),
+            Some((_, pid)) => pids.remove(pid),
+            None => false,
+        };
+    }
+    for pid in pids {
+        let _ = Command::new("sh").args(["-c", &format!("kill -9 {pid}")]).status();
+    }
+}
+
 pub struct System {
+    guard: Guard,
     pub record: Record,
     pub shapes: Shapes,
     pub history: History,
@@ -51,6 +86,7 @@
         let folder = std::env::temp_dir().join(format!("stand-3-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let mut system = Self {
+            guard: Guard::start(),
             record,
             shapes: Shapes::default(),
             history: History::default(),
@@ -153,7 +189,10 @@
             .stderr(log)
             .spawn();
         match child {
-            Ok(child) => *node.child.lock().unwrap() = Some(child),
+            Ok(child) => {
+                self.guard.tell('+', child.id());
+                *node.child.lock().unwrap() = Some(child);
+            }
             Err(error) => {
                 self.record.line(format!("{PROGRAM} can't start: {error}"));
                 self.stop();
@@ -263,7 +302,7 @@
             let Some(memory) = memory else { continue };
             kills += 1;
             self.record.line(format!("{} uses {memory} MB: killed and started again", node.name));
-            node.kill();
+            self.kill(node);
             thread::sleep(Duration::from_millis(1000));
             self.spawn(node, false);
         }
@@ -276,13 +315,21 @@
         self.record.line(each.collect::<Vec<_>>().join(", "));
     }
 
+    fn kill(&self, node: &Node) {
+        if let Some(mut child) = node.child.lock().unwrap().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+            self.guard.tell('-', child.id());
+        }
+    }
+
     /// Ends all processes and removes the temporary folder.
     pub fn stop(&self) {
         for machine in &self.machines {
             machine.crash();
         }
         for node in self.controls.iter().chain(&self.entries).chain(&self.agents) {
-            node.kill();
+            self.kill(node);
         }
         if std::env::var_os("KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
@@ -298,13 +345,6 @@
         let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
         line.trim().split(' ').next()?.parse::<u64>().ok().map(|kb| kb / 1024)
     }
-
-    pub fn kill(&self) {
-        if let Some(mut child) = self.child.lock().unwrap().take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
 }
 
 /// A part of the loopback range in which the ports are free.
