Bound the memory of all workflows together

Nothing bounded what all jobs together take, while they wait or are remembered after their end, and a client may also cancel identifiers without end that nobody has handed in.

Change: the leader admits a submission by the size of the registry, an estimate that is kept with each change, and by what is proposed; beyond an eighth of the host's memory (memoryMb, now a setting of control) it refuses with 503 and a Retry-After, before anything is proposed. Every replica accepts what is in the log, so builds may be mixed. Known and proposed jobs are always admitted, and a gate withholds the refusal of a call that was sent before.

Tests: workflow_memory, gate no_memory, calls::job_beyond_the_memory_of_control_is_refused (over sockets).

--- a/src/control/gate_session.rs
+++ b/src/control/gate_session.rs
@@ -120,12 +120,13 @@
 async fn submit(
     proposer: &proposer::Proposer,
     address: gate::Target,
-    workflow: workflow::model::Workflow,
+    mut workflow: workflow::model::Workflow,
 ) -> gate::Reply {
     let target = match validate(proposer, &address, &workflow) {
         Ok(target) => target,
         Err(reply) => return log_refusal(proposer, &address, reply),
     };
+    workflow.normalize();
     let submission = workflow::command::Submission {
         queue: target.queue.address(),
         id: target.id,
@@ -135,6 +136,13 @@
         attempts: target.queue.attempts,
         workflow,
     };
+    let _reserved = match proposer.shared.reserve_memory(&submission) {
+        Ok(reserved) => reserved,
+        Err(wait) => {
+            let reply = gate::Reply::Full(wait.0.div_ceil(1000));
+            return log_refusal(proposer, &address, reply);
+        }
+    };
     let description = describe(&submission);
     match propose(proposer, workflow::command::Command::Submit(submission)).await {
         Ok(workflow::command::Outcome::Accepted(job)) => {
@@ -155,6 +163,10 @@
     if target.id.is_empty() || target.id.contains(['/', '.']) {
         return Err(gate::Reply::NoQueue);
     }
+    if target.id.len() > workflow::model::MAX_ID_BYTES {
+        let limit = workflow::model::MAX_ID_BYTES;
+        return Err(gate::Reply::Invalid(format!("the identifier is longer than {limit} bytes")));
+    }
     workflow.validation_error().map_or(Ok(target), |error| Err(gate::Reply::Invalid(error)))
 }
 
@@ -165,9 +177,10 @@
     reply: gate::Reply,
 ) -> gate::Reply {
     let why = match &reply {
-        gate::Reply::NoQueue | gate::Reply::NoCredential | gate::Reply::NoConfiguration => {
-            reply.label()
-        }
+        gate::Reply::NoQueue
+        | gate::Reply::NoCredential
+        | gate::Reply::NoConfiguration
+        | gate::Reply::Full(_) => reply.label(),
         gate::Reply::Invalid(error) => error,
         // This replica isn't the leader, and the job wasn't refused.
         _ => return reply,
@@ -245,6 +258,9 @@
         Ok(target) => target,
         Err(reply) => return reply,
     };
+    if target.id.len() > workflow::model::MAX_ID_BYTES {
+        return gate::Reply::NoJob;
+    }
     let id = target.id.clone();
     let command = workflow::command::Command::Cancel(target.queue.address(), target.id);
     match propose(proposer, command).await {
--- a/src/control/ledger_machine.rs
+++ b/src/control/ledger_machine.rs
@@ -17,6 +17,7 @@
 use crate::core::ledger::command;
 use crate::core::ledger::outcome;
 use crate::core::ledger::state;
+use crate::core::limit;
 use crate::core::time;
 use crate::core::workflow::command as workflow;
 use crate::core::workflow::model;
@@ -58,16 +59,36 @@
     /// The role of this replica; updated in each term that has a leader.
     pub role: watch::Sender<machine::Role>,
     waiters: cell::RefCell<BTreeMap<ids::JobKey, Vec<oneshot::Sender<()>>>>,
+    /// The memory that workflows may take.
+    memory: cell::RefCell<limit::Memory>,
+}
+
+/// Memory that is reserved for a submission while it is proposed.
+pub struct ReservedMemory {
+    shared: rc::Rc<Shared>,
+    reservation: Option<limit::Reservation>,
+}
+
+impl Drop for ReservedMemory {
+    fn drop(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            self.shared.memory.borrow_mut().release(reservation);
+        }
+    }
 }
 
 impl Shared {
     /// Creates the state of a process that has applied no entry.
     pub fn new() -> rc::Rc<Self> {
-        Self::with_lease_limits(dispatch::DEFAULT_LEASE)
+        Self::with_limits(dispatch::DEFAULT_LEASE, limit::Memory::of_host(None))
     }
 
-    /// Like [`Shared::new`], with other lease durations for workers of workflows.
-    pub fn with_lease_limits(lease_limits: impl Into<fleet::LeaseLimits>) -> rc::Rc<Self> {
+    /// Like [`Shared::new`], with other lease durations for workers of workflows, and another bound on
+    /// the memory of workflows.
+    pub fn with_limits(
+        lease_limits: impl Into<fleet::LeaseLimits>,
+        memory: limit::Memory,
+    ) -> rc::Rc<Self> {
         rc::Rc::new(Self {
             clock: clock::Clock::start(),
             ledger: cell::RefCell::default(),
@@ -83,6 +104,7 @@
             revision: watch::Sender::new(ids::Revision(0)),
             role: watch::Sender::new(machine::Role::Follower { leader: None }),
             waiters: cell::RefCell::default(),
+            memory: cell::RefCell::new(memory),
         })
     }
 
@@ -123,6 +145,21 @@
         Some(result)
     }
 
+    /// Reserves the memory of a submission.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which there may be memory for the submission.
+    pub fn reserve_memory(
+        self: &rc::Rc<Self>,
+        submission: &workflow::Submission,
+    ) -> Result<ReservedMemory, time::Millis> {
+        let now = self.now().wall;
+        let registry = &self.ledger.borrow().workflows;
+        let reservation = self.memory.borrow_mut().reserve(registry, submission, now)?;
+        Ok(ReservedMemory { shared: self.clone(), reservation: Some(reservation) })
+    }
+
     /// Returns the number of a new session of an agent of workflows.
     pub fn next_session(&self) -> u64 {
         self.last_session.set(self.last_session.get() + 1);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,6 +13,7 @@
 use quick_error::quick_error;
 
 use crate::core::ids;
+use crate::core::limit;
 use crate::net::http;
 use crate::net::seeds;
 use crate::net::stream;
@@ -86,7 +87,8 @@
         settings: settings::control::Settings,
         seeds: seeds::Seeds,
     ) -> Result<Self, Error> {
-        let shared = ledger_machine::Shared::with_lease_limits(settings.lease_limits());
+        let memory = limit::Memory::of_host(settings.memory_mb);
+        let shared = ledger_machine::Shared::with_limits(settings.lease_limits(), memory);
         let machine = ledger_machine::LedgerMachine::new(shared.clone());
         let machine = rc::Rc::new(cell::RefCell::new(machine));
         let replica = replica::Replica::start(&settings, seeds, machine).await?;
--- a/src/core/limit/mod.rs
+++ b/src/core/limit/mod.rs
@@ -2,6 +2,8 @@
 
 mod admission;
 mod budget;
+mod memory;
 
 pub use admission::{Admission, Refusal};
 pub use budget::RetryBudget;
+pub use memory::{Memory, Reservation};
--- a/src/core/workflow/job.rs
+++ b/src/core/workflow/job.rs
@@ -102,6 +102,33 @@
 /// The state of a task that is done.
 static DONE_TASK: Task = Task::new(TaskState::Done);
 
+/// The memory of a job, of its place in the indices and of what describes a step, in bytes.
+const JOB_BYTES: u64 = 1536;
+const STEP_BYTES: u64 = 256;
+
+/// The memory of an occurrence that has begun and of each step in it, in bytes. The first task of a
+/// step takes a node of a tree.
+const OCCURRENCE_BYTES: u64 = 128;
+const BEGUN_STEP_BYTES: u64 = 1024;
+
+/// The memory of a task that has an entry, and of a range, in bytes.
+const TASK_BYTES: u64 = 160;
+const RANGE_BYTES: u64 = 16;
+
+/// Returns the memory that a submission takes, in bytes. It does not depend on how many tasks the job
+/// has.
+pub fn submission_size(submission: &command::Submission) -> u64 {
+    let step_size = |step: &model::Step| {
+        let texts = [step.constraint.as_ref(), step.affinity.as_ref(), Some(&step.image)];
+        let texts = texts.into_iter().flatten().map(String::len).sum::<usize>();
+        STEP_BYTES + (texts + step.after.len() * size_of::<u32>()) as u64
+    };
+    let command::Submission { queue, id, account, pool, workflow, .. } = submission;
+    // The indices hold the names once more.
+    let texts = 2 * (queue.len() + id.len()) + account.len() + pool.len() + workflow.spec.len();
+    JOB_BYTES + texts as u64 + workflow.steps.iter().map(step_size).sum::<u64>()
+}
+
 impl Task {
     const fn new(state: TaskState) -> Self {
         Self { run: 0, failures: 0, failed_run: 0, state, checkpoint: String::new() }
@@ -282,6 +309,20 @@
         self.open_tasks
     }
 
+    /// The memory of the job in bytes, by estimate.
+    pub fn size(&self) -> u64 {
+        submission_size(&self.submission) + self.begun_size()
+    }
+
+    /// The memory of what has begun of the job in bytes, by estimate.
+    pub(super) fn begun_size(&self) -> u64 {
+        let steps = self.submission.workflow.steps.len() as u64;
+        let occurrence = OCCURRENCE_BYTES + steps * BEGUN_STEP_BYTES;
+        self.occurrences.len() as u64 * occurrence
+            + u64::from(self.open_tasks) * TASK_BYTES
+            + self.begun.ranges() as u64 * RANGE_BYTES
+    }
+
     /// The number of ranges that the job takes to tell which occurrences have begun.
     pub fn ranges(&self) -> usize {
         self.begun.ranges()
--- a/src/core/workflow/model.rs
+++ b/src/core/workflow/model.rs
@@ -12,6 +12,9 @@
 /// The most tasks of one workflow, counted over all its occurrences.
 pub const MAX_WORKFLOW_TASKS: u64 = MAX_STEPS as u64 * MAX_STEP_TASKS as u64;
 
+/// The longest identifier of a job, in bytes.
+pub const MAX_ID_BYTES: usize = 256;
+
 /// The longest text that a job hands to each task, in bytes.
 pub const MAX_SPEC_BYTES: usize = 4000;
 
@@ -175,6 +178,14 @@
         self.schedule.as_ref().map_or(1, |schedule| schedule.count.max(1))
     }
 
+    /// Sorts the dependencies of each step and names each once.
+    pub fn normalize(&mut self) {
+        for step in &mut self.steps {
+            step.after.sort_unstable();
+            step.after.dedup();
+        }
+    }
+
     /// The reason why the workflow is invalid, as a message for its caller; none if it is valid.
     pub fn validation_error(&self) -> Option<String> {
         if self.spec.len() > MAX_SPEC_BYTES {
--- a/src/core/workflow/registry.rs
+++ b/src/core/workflow/registry.rs
@@ -14,6 +14,16 @@
 /// resend and ask for minutes, and an entry may be suspended before it passes on a submission.
 pub const RETENTION: time::Millis = time::Millis::from_secs(3600);
 
+/// The most cancels of unknown jobs that are remembered; the earliest are forgotten first. A
+/// submission that a cancel has overtaken arrives within seconds.
+pub const MAX_EARLY_CANCELS: usize = 16_384;
+
+/// The memory of the cancel of an unknown job without its names, in bytes.
+const CANCEL_BYTES: u64 = 384;
+
+/// The most ended jobs that [`Registry::time_to_free`] looks at.
+const MAX_EXPIRIES: usize = 4096;
+
 /// The replicated state of workflows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Registry {
@@ -32,6 +42,8 @@
     early_cancels: BTreeMap<(String, String), u64>,
     /// The keys of `early_cancels`, ordered by time.
     by_cancel: BTreeSet<(u64, (String, String))>,
+    /// The memory of all jobs and cancels in bytes, by estimate.
+    size: u64,
 }
 
 impl Registry {
@@ -95,9 +107,28 @@
             true => self.active.insert(key),
             false => self.by_end.insert((job.ended, key)),
         };
+        self.size += job.size();
         self.jobs.insert(key, job);
     }
 
+    /// The memory of all jobs and cancels in bytes, by estimate.
+    pub fn size(&self) -> u64 {
+        self.size
+    }
+
+    /// The time until this much memory, in bytes, is free because ended jobs have expired. Active jobs
+    /// may end earlier.
+    pub fn time_to_free(&self, bytes: u64, now: time::Wall) -> time::Millis {
+        let mut freed = 0;
+        for (ended, key) in self.by_end.iter().take(MAX_EXPIRIES) {
+            freed += self.jobs[key].size();
+            if freed >= bytes {
+                return time::Wall(*ended) + RETENTION - now;
+            }
+        }
+        RETENTION
+    }
+
     /// The cancels of unknown jobs: queue address, caller's identifier and time.
     pub fn early_cancels(&self) -> impl Iterator<Item = (&str, &str, u64)> {
         let cancels = self.early_cancels.iter();
@@ -108,14 +139,22 @@
     pub fn restore_cancel(&mut self, queue: String, id: String, at: u64) {
         self.remove_cancel(&queue, &id);
         let name = (queue, id);
+        self.size += cancel_size(&name);
         self.by_cancel.insert((at, name.clone()));
         self.early_cancels.insert(name, at);
+        if self.by_cancel.len() > MAX_EARLY_CANCELS
+            && let Some((_, first)) = self.by_cancel.pop_first()
+        {
+            self.size -= cancel_size(&first);
+            self.early_cancels.remove(&first);
+        }
     }
 
     /// Removes the cancel of an unknown job. Returns whether there was one.
     fn remove_cancel(&mut self, queue: &str, id: &str) -> bool {
         let name = (queue.to_owned(), id.to_owned());
         let Some(at) = self.early_cancels.remove(&name) else { return false };
+        self.size -= cancel_size(&name);
         self.by_cancel.remove(&(at, name))
     }
 
@@ -126,6 +165,7 @@
             && time::Wall(*cancelled) + RETENTION <= at
             && let Some((_, name)) = self.by_cancel.pop_first()
         {
+            self.size -= cancel_size(&name);
             self.early_cancels.remove(&name);
         }
         while let Some((ended, key)) = self.by_end.first().copied() {
@@ -134,6 +174,7 @@
             }
             self.by_end.pop_first();
             let Some(job) = self.jobs.remove(&key) else { continue };
+            self.size -= job.size();
             if let Some(queues) = self.by_id.get_mut(&job.submission.id) {
                 queues.remove(&job.submission.queue);
                 if queues.is_empty() {
@@ -174,7 +215,7 @@
         self.restore(key, job::Job::new(submission, at.0));
         events.push(command::Event::Submitted(key));
         if is_cancelled {
-            self.finish_job(at, key, job::Phase::Cancelled, events);
+            self.cancel_job(at, key, events);
         }
         command::Outcome::Accepted(key.0)
     }
@@ -191,12 +232,18 @@
             return command::Outcome::Unknown;
         };
         if self.jobs[&key].is_active() {
-            self.finish_job(at, key, job::Phase::Cancelled, events);
+            self.cancel_job(at, key, events);
             events.push(command::Event::Stopping(key));
         }
         command::Outcome::Applied
     }
 
+    fn cancel_job(&mut self, at: time::Wall, key: ids::JobKey, events: &mut Vec<command::Event>) {
+        self.size -= self.jobs[&key].size();
+        self.finish_job(at, key, job::Phase::Cancelled, events);
+        self.size += self.jobs[&key].size();
+    }
+
     fn place_run(&mut self, placement: &command::Placement, events: &mut Vec<command::Event>) {
         let run = placement.key();
         let at = job::TaskState::At(placement.incarnation);
@@ -210,6 +257,7 @@
             |task: &job::Task| task.state == job::TaskState::Waiting && placement.run > task.run;
         let placed = task.is_some_and(may_start);
         if placed && let Some(job) = active {
+            let before = job.begun_size();
             job.change(run.task.occurrence, |occurrence| {
                 let tasks = &mut occurrence.steps[run.task.step as usize];
                 if let Some(task) = tasks.open_mut(run.task.index) {
@@ -218,6 +266,7 @@
                 }
             });
             job.phase = job::Phase::Running;
+            self.size = self.size - before + job.begun_size();
         }
         events.push(match placed {
             true => command::Event::Placed(run, placement.incarnation),
@@ -238,6 +287,7 @@
             return;
         }
         job.started |= ending.reason.has_started();
+        self.size -= job.size();
         match ending.reason {
             model::EndReason::Done => self.complete_run(at, run, events),
             reason => self.interrupt_run(at, run, reason, ending.checkpoint, events),
@@ -248,6 +298,7 @@
         } else if !job.started && !job.has_runs() {
             job.phase = job::Phase::Pending;
         }
+        self.size += job.size();
     }
 
     /// Marks the task of a run as done, and with it all tasks of its gang.
@@ -298,6 +349,7 @@
         }
     }
 
+    /// Ends a job. The caller updates [`Registry::size`].
     fn finish_job(
         &mut self,
         at: time::Wall,
@@ -315,6 +367,10 @@
     }
 }
 
+fn cancel_size((queue, id): &(String, String)) -> u64 {
+    CANCEL_BYTES + 2 * (queue.len() + id.len()) as u64
+}
+
 /// Returns the task of an interrupted run to waiting. Returns the number of failures that count
 /// against the attempts of the task or gang if the run failed.
 fn interrupt_task(
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -4,8 +4,9 @@
 //! same identifiers until it is decided or times out. Every call is idempotent, since the registry
 //! holds one job per caller's identifier and one configuration per version.
 //!
-//! A refusal by the configuration holds for the send that it replies to. An earlier send of the same
-//! call may have been decided by an earlier configuration, so the call remains without an answer.
+//! A refusal by the configuration, or for want of memory, holds for the send that it replies to. An
+//! earlier send of the same call may have been decided at another moment, so the call remains without
+//! an answer.
 
 use std::cell;
 use std::collections::BTreeMap;
@@ -109,8 +110,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Unanswered`] after the timeout, and if a retry is refused by the configuration while
-    /// an earlier send may have taken effect.
+    /// Returns [`Unanswered`] after the timeout, and if a retry is refused for a reason of the moment
+    /// while an earlier send may have taken effect.
     pub async fn call(
         &self,
         body: wire::Call,
@@ -125,7 +126,7 @@
             match attempt.await {
                 Ok(Some(wire::Reply::Undecided(false))) => {}
                 Ok(Some(wire::Reply::Undecided(true))) => unanswered.sent = true,
-                Ok(Some(reply)) if in_doubt && reply.depends_on_configuration() => {
+                Ok(Some(reply)) if in_doubt && reply.depends_on_moment() => {
                     log_withheld(&body, &reply);
                     return Err(unanswered);
                 }
--- a/src/ops/local.rs
+++ b/src/ops/local.rs
@@ -140,6 +140,7 @@
         http: loopback(),
         hold_ms: None,
         max_hold_ms: None,
+        memory_mb: None,
         voters: None,
         seeds: Vec::new(),
         peers: peers.to_vec(),
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -17,6 +17,10 @@
 /// Highest number of a replica; an IPv4 address can serve as the number.
 const MAX_REPLICA: u64 = u32::MAX as u64;
 
+/// The least and the most memory of a host, in MB.
+const MIN_MEMORY_MB: u64 = 32;
+const MAX_MEMORY_MB: u64 = 1 << 20;
+
 /// Settings of `hemlockcleat-control`.
 #[derive(Clone, Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -45,6 +49,10 @@
     /// the lease duration.
     #[serde(default)]
     pub max_hold_ms: Option<u64>,
+    /// The memory of the host in MB, from which the bound on the memory of workflows is derived; give
+    /// all replicas of a group the same.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
     /// The number of voters that the group maintains by adding new stores and candidates; if it is
     /// missing, only tickets change the group.
     #[serde(default)]
@@ -77,6 +85,9 @@
         if self.data_folder.as_os_str().is_empty() {
             return Err(settings::value_error("data_folder", "must not be empty"));
         }
+        if let Some(memory) = self.memory_mb {
+            check::range("memory_mb", memory, MIN_MEMORY_MB, MAX_MEMORY_MB)?;
+        }
         check::listeners(&[("listen", self.listen), ("http", self.http)])?;
         self.check_peers()
     }
--- a/src/wire/gate.rs
+++ b/src/wire/gate.rs
@@ -104,6 +104,9 @@
         Invalid(String),
         /// The outcome is unknown to this replica; if true, the call may still take effect.
         Undecided(bool),
+        /// The call had no effect: control has no memory for the job. Carries the time in seconds after
+        /// which there may be some.
+        Full(u64),
     }
 }
 
@@ -138,10 +141,12 @@
 }
 
 impl Reply {
-    /// Returns whether the call was refused by the configuration of that moment, so that the same
-    /// call may have been accepted earlier.
-    pub fn depends_on_configuration(&self) -> bool {
-        matches!(self, Self::NoConfiguration | Self::NoQueue | Self::NoCredential)
+    /// Returns whether the call was refused by the configuration or for the memory of that moment, so
+    /// that the same call may have been accepted earlier.
+    pub fn depends_on_moment(&self) -> bool {
+        let by_configuration =
+            matches!(self, Self::NoConfiguration | Self::NoQueue | Self::NoCredential);
+        by_configuration || matches!(self, Self::Full(_))
     }
 
     /// Returns a label of one or two words for logs.
@@ -158,6 +163,7 @@
             Self::NoJob => "no job",
             Self::Invalid(_) => "invalid",
             Self::Undecided(_) => "undecided",
+            Self::Full(_) => "full",
         }
     }
 }
--- a/tests/testsuite/gate.rs
+++ b/tests/testsuite/gate.rs
@@ -90,6 +90,7 @@
 #[case::queue_removed(submit(), wire::Reply::NoQueue)]
 #[case::credential_withdrawn(submit(), wire::Reply::NoCredential)]
 #[case::no_configuration(submit(), wire::Reply::NoConfiguration)]
+#[case::no_memory(submit(), wire::Reply::Full(5))]
 #[case::cancel_of_a_removed_queue(cancel(), wire::Reply::NoQueue)]
 fn call_refused_after_a_lost_reply_may_have_taken_effect(
     #[case] body: wire::Call,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -73,5 +73,6 @@
 mod workflow;
 mod workflow_ends;
 mod workflow_incarnations;
+mod workflow_memory;
 mod workflow_scale;
 mod workflow_view;
--- a/tests/testsuite/workflow_scale.rs
+++ b/tests/testsuite/workflow_scale.rs
@@ -294,6 +294,7 @@
         (job.phase, job.finished, job.started),
         (model.phase, model.finished, model.started)
     );
+    assert_eq!(registry.size(), job.size(), "the sum is kept with each change");
     let mut open = 0;
     for occurrence in 0..9 {
         for (step, count) in [(0, 4), (1, 3)] {
