Count pending jobs at most ten times a second while many wait

Each GET for a queue's count walked all active jobs at the leader, and a client may send such calls as often as it likes.

--- a/src/control/gate_session.rs
+++ b/src/control/gate_session.rs
@@ -242,8 +242,9 @@
     let registry = &proposer.shared.ledger.borrow().workflows;
     let queue = target.queue.address();
     if target.id.is_empty() {
-        return match proposer.shared.dispatch.borrow().as_ref() {
-            Some(dispatch) => gate::Reply::Pending(dispatch.pending(registry, &queue)),
+        let now = proposer.shared.clock.tick();
+        return match proposer.shared.dispatch.borrow_mut().as_mut() {
+            Some(dispatch) => gate::Reply::Pending(dispatch.pending(registry, &queue, now)),
             None => gate::Reply::Undecided(false),
         };
     }
--- a/src/core/dispatch/leader.rs
+++ b/src/core/dispatch/leader.rs
@@ -8,6 +8,7 @@
 use crate::core::dispatch::order;
 use crate::core::dispatch::order::Resources;
 use crate::core::dispatch::order::Timestamp;
+use crate::core::dispatch::pending;
 use crate::core::dispatch::progress;
 use crate::core::dispatch::queue;
 use crate::core::dispatch::runs;
@@ -45,6 +46,7 @@
     pub(super) window: window::Window,
     /// Whether slices of the current pass are left.
     pub(super) in_pass: bool,
+    pub(super) pending: pending::Counts,
     pub(super) racks: fleet::Racks,
     /// Whether something has changed since the last pass that may let a waiting step start.
     pub(super) changed: bool,
@@ -72,6 +74,7 @@
             queue: queue::Queue::new(registry),
             window: window::Window::default(),
             in_pass: false,
+            pending: pending::Counts::default(),
             racks: fleet::Racks::default(),
             changed: true,
             effects: Vec::new(),
@@ -104,17 +107,6 @@
         self.health.speed(host)
     }
 
-    /// Returns the number of active jobs in the queue at this address of which no task is known to
-    /// have started. A task counts as started once its worker has listed the run, not when it is
-    /// placed: the worker may be lost already.
-    pub fn pending(&self, registry: &registry::Registry, queue: &str) -> u64 {
-        let has_started = |key, job: &job::Job| {
-            job.started || runs::of_job(&self.runs, key).any(|(_, run)| run.started)
-        };
-        let jobs = registry.active_jobs().filter(|(_, job)| job.submission.queue == queue);
-        jobs.filter(|(key, job)| !has_started(*key, job)).count() as u64
-    }
-
     fn adopt(
         &mut self,
         job: &job::Job,
--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -13,6 +13,7 @@
 //! - [`queue`]: order in which waiting steps are served
 //! - [`ranks`]: ranks of jobs by the guarantees of their accounts
 //! - [`window`]: the part of the queue that a pass looks at
+//! - [`pending`]: numbers of pending jobs
 //! - [`wait`]: wait times of steps, and placements made during the wait
 //! - [`fit`]: choice of workers for the tasks of a step
 //! - [`preempt`]: choice of runs to preempt for urgent steps
@@ -28,6 +29,7 @@
 pub mod leader;
 mod migrate;
 pub mod order;
+pub mod pending;
 mod plan;
 pub mod preempt;
 pub mod progress;
--- a/src/core/workflow/registry.rs
+++ b/src/core/workflow/registry.rs
@@ -95,6 +95,11 @@
         self.active.iter().map(|key| (*key, &self.jobs[key]))
     }
 
+    /// The number of jobs that have not ended.
+    pub fn active_count(&self) -> usize {
+        self.active.len()
+    }
+
     /// Inserts a job, either new or from a snapshot, and indexes it.
     pub fn restore(&mut self, key: ids::JobKey, mut job: job::Job) {
         if !job.is_active() {
