--- a/src/core/limit/memory.rs
+++ b/src/core/limit/memory.rs
@@ -17,6 +17,9 @@
 /// else. Its disk holds two snapshots and such entries.
 const MEMORY_DIVISOR: u64 = 8;
 
+/// The least bound in bytes, which any host can bear.
+const MIN_LIMIT: u64 = 4 * 1024 * 1024;
+
 /// The memory of a host whose settings don't name it, in MB.
 const DEFAULT_MEMORY_MB: u64 = 256;
 
@@ -53,7 +56,8 @@
     /// Returns the bound for a host with this memory in MB, if it is known.
     pub fn of_host(memory_mb: Option<u64>) -> Self {
         let memory = memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1024 * 1024);
-        Self { limit: memory / MEMORY_DIVISOR, reserved: 0, in_flight: BTreeMap::new() }
+        let limit = (memory / MEMORY_DIVISOR).max(MIN_LIMIT);
+        Self { limit, reserved: 0, in_flight: BTreeMap::new() }
     }
 
     /// Returns the bound in bytes.
