--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -157,7 +157,7 @@
         queue.refresh(registry, now);
         let mut window = std::mem::take(&mut self.window);
         if !self.in_pass {
-            window = window::Window::after(Some(&window));
+            window = window::Window::after(&window);
         }
         let mut pass = Pass::default();
         let mut placements = Vec::new();
--- a/src/core/dispatch/window.rs
+++ b/src/core/dispatch/window.rs
@@ -34,8 +34,8 @@
 
 impl Window {
     /// Returns the window of a pass after another one.
-    pub fn after(earlier: Option<&Self>) -> Self {
-        Self { turn: earlier.and_then(|earlier| earlier.turn), ..Self::default() }
+    pub fn after(earlier: &Self) -> Self {
+        Self { turn: earlier.turn, ..Self::default() }
     }
 
     /// Returns the next step to look at; `None` at the end of the pass.
