--- a/src/core/dispatch/mod.rs
+++ b/src/core/dispatch/mod.rs
@@ -19,7 +19,7 @@
 //! - [`preempt`]: choice of runs to preempt for urgent steps
 //! - [`history`]: health of workers as derived from the log
 //! - [`leader`]: state of the leader and its handling of registry events; its other rules are in
-//!   `report` (reports of agents), `plan` (placement) and `migrate` (stopping runs that should
+//!   `report` (reports of agents), `pass` and `plan` (placement) and `migrate` (stopping runs that should
 //!   restart elsewhere)
 
 pub mod fit;
@@ -29,6 +29,7 @@
 pub mod leader;
 mod migrate;
 pub mod order;
+mod pass;
 pub mod pending;
 mod plan;
 pub mod preempt;
--- a/src/core/dispatch/plan.rs
+++ b/src/core/dispatch/plan.rs
@@ -12,7 +12,6 @@
 use crate::core::dispatch::queue;
 use crate::core::dispatch::ranks;
 use crate::core::dispatch::runs;
-use crate::core::dispatch::window;
 use crate::core::time;
 use crate::core::workflow::command;
 use crate::core::workflow::job;
@@ -35,36 +34,15 @@
 /// The highest rank that may reserve resources: the queues directly after the urgent ones.
 const MAX_RESERVING_RANK: u32 = queue::URGENT_RANK + 1;
 
-/// The most steps that a slice of a pass looks at in vain. Between two slices the process does its
-/// other work, such as the heartbeats of the replicated log.
-const MAX_SLICE_LOOKS: usize = 64;
-
-/// The most tasks that a slice of a pass places. They are one entry of the log.
-const MAX_SLICE_PLACEMENTS: usize = 1024;
-
-/// The outcome of a look at a step.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Look {
-    /// All waiting tasks of the step are placed.
-    Placed,
-    /// Tasks of the step were placed, and the limits that the others met don't hold for another
-    /// occurrence.
-    Limited,
-    /// No more tasks that need the same can be placed.
-    Exhausted,
-    /// Nothing could be placed.
-    Vain,
-}
-
 /// A waiting step while it is served.
 #[derive(Clone, Copy)]
-struct Turn<'a> {
-    job: &'a job::Job,
-    ranks: &'a ranks::Ranks,
-    waiting: queue::WaitingStep,
-    demand: fit::Demand<'a>,
+pub(super) struct Turn<'a> {
+    pub(super) job: &'a job::Job,
+    pub(super) ranks: &'a ranks::Ranks,
+    pub(super) waiting: queue::WaitingStep,
+    pub(super) demand: fit::Demand<'a>,
     /// The number of tasks that may start if other jobs wait, and for which others may be stopped.
-    share: usize,
+    pub(super) share: usize,
 }
 
 impl Turn<'_> {
@@ -150,99 +128,10 @@
         Pool { open, accelerators: (free, all) }
     }
 
-    /// Performs a slice of a pass: places waiting steps in queue order, and preempts lower ranks for
-    /// urgent ones. Returns whether the pass is complete.
-    pub(super) fn place_slice(&mut self, registry: &registry::Registry, now: Timestamp) -> bool {
-        let mut queue = std::mem::take(&mut self.queue);
-        queue.refresh(registry, now);
-        let mut window = std::mem::take(&mut self.window);
-        if !self.in_pass {
-            window = window::Window::after(&window);
-        }
-        let mut pass = Pass::default();
-        let mut placements = Vec::new();
-        let last_look = window.vain_looks() + MAX_SLICE_LOOKS;
-        self.in_pass = false;
-        while let Some(waiting) = window.next(&queue) {
-            let look = self.place_next(registry, &queue, &mut pass, waiting, &mut placements, now);
-            match look {
-                Look::Vain => window.record_vain(),
-                Look::Exhausted => {}
-                Look::Placed | Look::Limited => {
-                    let successor = queue.successor(registry, &waiting);
-                    successor.into_iter().for_each(|successor| window.add_successor(successor));
-                }
-            }
-            if window.vain_looks() >= last_look || placements.len() >= MAX_SLICE_PLACEMENTS {
-                self.in_pass = true;
-                break;
-            }
-        }
-        (self.queue, self.window) = (queue, window);
-        if !placements.is_empty() {
-            self.effects.push(order::Effect::Propose(command::Command::Place(placements)));
-        }
-        !self.in_pass
-    }
-
-    /// Places tasks of the next waiting step, and adds the placements.
-    fn place_next(
-        &mut self,
-        registry: &registry::Registry,
-        queue: &queue::Queue,
-        pass: &mut Pass,
-        waiting: queue::WaitingStep,
-        placements: &mut Vec<command::Placement>,
-        now: Timestamp,
-    ) -> Look {
-        let first = waiting.first_task;
-        let Some(job) = registry.jobs.get(&first.job) else { return Look::Vain };
-        let indices = self.waiting_indices(job, first);
-        if indices.is_empty() {
-            // The placements of all tasks are proposed.
-            return Look::Placed;
-        }
-        self.wait_times.begin(&waiting, now.tick);
-        let step = job.step(first.step);
-        if step.gang && indices.len() < step.count as usize {
-            return Look::Vain;
-        }
-        let demand = self.demand(pass, registry, job, &waiting, now);
-        let turn = Turn { job, ranks: queue.ranks(), waiting, demand, share: usize::MAX };
-        let limit = self.start_limit(pass, turn, queue.is_single_job());
-        let allowed = &indices[..limit.min(indices.len())];
-        let turn = Turn { share: self.start_limit(pass, turn, false), ..turn };
-        let placed = self.place_step(registry, pass, turn, allowed, now);
-        self.record_placed(&turn, placed.len(), indices.len(), now);
-        let look = match placed.len() {
-            count if count == indices.len() => Look::Placed,
-            0 => Look::Vain,
-            count if count == allowed.len() || step.worker_limit > 0 => Look::Limited,
-            _ => Look::Exhausted,
-        };
-        if look == Look::Placed {
-            self.wait_times.end(first);
-        }
-        placements.extend(placed);
-        look
-    }
-
-    /// Records how many tasks of a step were placed, and reports a long wait of the others.
-    fn record_placed(&mut self, turn: &Turn<'_>, placed: usize, count: usize, now: Timestamp) {
-        self.wait_times.record_placed(turn.waiting.rank, placed);
-        if placed > 0 {
-            let waited = turn.demand.waited;
-            self.effects.push(order::Effect::StepWaited(turn.waiting.rank, waited));
-        }
-        let long_wait = (placed < count)
-            .then(|| self.wait_times.long_wait(&turn.waiting, count - placed, now.tick));
-        self.effects.extend(long_wait.flatten().map(order::Effect::LongWait));
-    }
-
     /// Returns how many more tasks of a step may start. While other jobs wait, long tasks beyond
     /// the guarantee take at most half of a pool; very long ones always do, since other jobs will
     /// arrive.
-    fn start_limit(&self, pass: &Pass, turn: Turn<'_>, single_job: bool) -> usize {
+    pub(super) fn start_limit(&self, pass: &Pass, turn: Turn<'_>, single_job: bool) -> usize {
         let (step, need) = (turn.demand.step, turn.demand.step.accelerators);
         let long = if single_job { VERY_LONG_ESTIMATE } else { LONG_ESTIMATE };
         let short = u64::from(step.estimate) < long.0;
@@ -259,7 +148,7 @@
 
     /// Places tasks of a step. Urgent ones get fast, reliable workers, by preemption if necessary,
     /// and other workers only if that is not possible.
-    fn place_step(
+    pub(super) fn place_step(
         &mut self,
         registry: &registry::Registry,
         pass: &mut Pass,
@@ -305,7 +194,7 @@
     }
 
     /// Returns the indices of tasks that wait and have no run in flight.
-    fn waiting_indices(&self, job: &job::Job, first: model::TaskKey) -> Vec<u32> {
+    pub(super) fn waiting_indices(&self, job: &job::Job, first: model::TaskKey) -> Vec<u32> {
         let busy: BTreeSet<u32> =
             runs::of_step(&self.runs, first).map(|(key, _)| key.task.index).collect();
         let is_free = |index: &u32| !busy.contains(index);
