Unlock the data folder when it is no longer used

Cause: the lock belongs to the open file, and was released by closing it. A child process that another test has forked has the file open too, until it executes its program, so the folder stayed locked for a moment. Evidence: with four threads that start processes beside it, opening and dropping a folder failed within 0.1 s. Programs start no processes, so only tests met it.

Change: the folder is unlocked when it is dropped, whoever else has the file open.

--- a/src/store/disk.rs
+++ b/src/store/disk.rs
@@ -55,7 +55,15 @@
 #[derive(Debug)]
 pub struct LockedFolder {
     path: path::PathBuf,
-    _lock: fs::File,
+    lock: fs::File,
+}
+
+impl Drop for LockedFolder {
+    fn drop(&mut self) {
+        // Closing the file is not enough: a child process that has been forked and has not executed
+        // its program yet has it open too. If this fails, the lock ends with that process.
+        let _ = self.lock.unlock();
+    }
 }
 
 impl LockedFolder {
@@ -79,7 +87,7 @@
             .open(&file)
             .map_err(|error| store::Error::io(&name, error))?;
         match lock.try_lock() {
-            Ok(()) => Ok(Self { path, _lock: lock }),
+            Ok(()) => Ok(Self { path, lock }),
             Err(fs::TryLockError::WouldBlock) => Err(store::Error::Locked(name)),
             Err(fs::TryLockError::Error(error)) => Err(store::Error::io(&name, error)),
         }
--- a/tests/testsuite/store.rs
+++ b/tests/testsuite/store.rs
@@ -1,6 +1,9 @@
 //! The data folder: the state that survives each fault, and the folders that are refused.
 
+use std::process;
 use std::sync;
+use std::sync::atomic;
+use std::thread;
 
 use bytes::Bytes;
 use hemlockcleat::core::consensus::entry;
@@ -364,3 +367,24 @@
         assert_eq!(bytes, std::fs::read(&name).expect("a committed sample"), "{file}");
     }
 }
+
+/// A child process that another part of the process forks has the lock's descriptor too, until it
+/// executes its program. The folder must be free all the same once it is no longer used.
+#[test]
+fn folder_is_free_while_other_processes_start() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let done = atomic::AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                while !done.load(atomic::Ordering::Relaxed) {
+                    let child = process::Command::new("true").status();
+                    assert!(child.expect("a process").success());
+                }
+            });
+        }
+        let opened = (0..5000).find_map(|_| disk::LockedFolder::create(folder.path()).err());
+        done.store(true, atomic::Ordering::Relaxed);
+        assert!(opened.is_none(), "{opened:?}");
+    });
+}
